--- /dev/null
+++ b/admission/controller.go
@@ -0,0 +1,374 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// Limits of the queue and the adaptive limit.
+const (
+	queuePerSlot  = 4                      // tickets that one class may queue for each slot
+	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued
+	creditWindow  = 500 * time.Millisecond // span over which an unused guaranteed share is kept
+	serviceWeight = 0.05                   // weight of a new sample in the mean service time
+	refuseHold    = 100 * time.Millisecond // span for which a refusal is advertised
+	growAfter     = 20                     // completions at the limit before it grows by one
+	shedHold      = 500 * time.Millisecond // span after a decrease in which no further one happens
+)
+
+// Reason says why a ticket was refused before it started.
+type Reason string
+
+// The reasons for a refusal.
+const (
+	Overload Reason = "overload"
+	Expired  Reason = "expired"
+	Draining Reason = "draining"
+)
+
+// Class is the configuration of one class of work.
+type Class struct {
+	Name     string
+	Priority int
+	Share    float64
+}
+
+// Ticket is one request that asks for a slot.
+type Ticket struct {
+	ID       uint64
+	Class    int
+	Deadline time.Time
+}
+
+// Verdict is the decision on a ticket: it starts, or is refused for a reason.
+type Verdict struct {
+	ID     uint64
+	Start  bool
+	Reason Reason
+}
+
+// Load describes the controller at one moment.
+type Load struct {
+	Running  int
+	Queued   int
+	Limit    int
+	Refusing uint32 // bit i is set while class i is being refused
+}
+
+type class struct {
+	Class
+	queue   []Ticket
+	credit  float64 // slot-seconds
+	mean    float64 // service time in seconds
+	refused time.Time
+}
+
+type running struct {
+	class int
+	start time.Time
+	cost  float64 // slot-seconds charged at the start
+}
+
+// Controller shares the slots of one upstream among classes of work.
+type Controller struct {
+	slots    int
+	limit    int
+	classes  []class
+	order    []int // classes by priority
+	running  map[uint64]running
+	queued   int
+	draining bool
+	last     time.Time
+	streak   int
+	cut      time.Time
+}
+
+// New returns a controller of an upstream with the given slots; classes are indexed as passed.
+func New(slots int, classes []Class) *Controller {
+	c := &Controller{running: make(map[uint64]running)}
+	c.SetSlots(slots)
+	c.SetClasses(classes)
+	return c
+}
+
+// SetSlots changes the slots of the upstream and resets the adaptive limit.
+func (c *Controller) SetSlots(slots int) {
+	c.slots = max(1, slots)
+	c.limit = c.slots
+}
+
+// SetClasses replaces the classes when a new bundle is in force and refuses what was queued under the old ones.
+func (c *Controller) SetClasses(classes []Class) []Verdict {
+	out := c.flush(Overload)
+	old := c.classes
+	c.classes = make([]class, len(classes))
+	c.order = c.order[:0]
+	for i, k := range classes {
+		c.classes[i] = class{Class: k}
+		for _, o := range old {
+			if o.Name == k.Name {
+				c.classes[i].mean = o.mean
+				c.classes[i].credit = o.credit
+			}
+		}
+		c.order = append(c.order, i)
+	}
+	c.sortOrder()
+	for id, r := range c.running {
+		r.class = min(r.class, len(classes)-1)
+		c.running[id] = r
+	}
+	return out
+}
+
+func (c *Controller) sortOrder() {
+	for i := 1; i < len(c.order); i++ {
+		for j := i; j > 0 && c.classes[c.order[j]].Priority < c.classes[c.order[j-1]].Priority; j-- {
+			c.order[j], c.order[j-1] = c.order[j-1], c.order[j]
+		}
+	}
+}
+
+// Drain refuses all queued and later tickets; running work goes on.
+func (c *Controller) Drain(on bool) []Verdict {
+	c.draining = on
+	if !on {
+		return nil
+	}
+	return c.flush(Draining)
+}
+
+func (c *Controller) flush(reason Reason) []Verdict {
+	var out []Verdict
+	for i := range c.classes {
+		for _, t := range c.classes[i].queue {
+			out = append(out, Verdict{ID: t.ID, Reason: reason})
+		}
+		c.classes[i].queue = nil
+	}
+	c.queued = 0
+	return out
+}
+
+// Offer takes a new ticket and returns the verdicts that follow; without a verdict the ticket waits.
+func (c *Controller) Offer(now time.Time, t Ticket) []Verdict {
+	c.accrue(now)
+	k := &c.classes[t.Class]
+	if reason := c.refuse(now, t, k); reason != "" {
+		if reason == Overload {
+			k.refused = now
+		}
+		return []Verdict{{ID: t.ID, Reason: reason}}
+	}
+	k.queue = append(k.queue, t)
+	c.queued++
+	return c.dispatch(now, nil)
+}
+
+func (c *Controller) refuse(now time.Time, t Ticket, k *class) Reason {
+	if c.draining {
+		return Draining
+	}
+	if !now.Before(t.Deadline) {
+		return Expired
+	}
+	if len(c.running) < c.limit && c.queued == 0 {
+		return ""
+	}
+	if len(k.queue) >= queuePerSlot*c.limit {
+		return Overload
+	}
+	wait := c.wait(t.Class)
+	if wait > maxWait && len(k.queue) >= c.limit || now.Add(wait+seconds(k.mean)).After(t.Deadline) {
+		return Overload
+	}
+	return ""
+}
+
+// wait estimates the time until a new ticket of the class would start.
+func (c *Controller) wait(index int) time.Duration {
+	k := &c.classes[index]
+	ahead := 0.0
+	for i := range c.classes {
+		o := &c.classes[i]
+		if o.Priority <= k.Priority {
+			ahead += float64(len(o.queue)) * o.mean
+		}
+	}
+	wait := ahead / float64(c.limit)
+	if k.Share > 0 {
+		own := float64(len(k.queue)) * k.mean / (k.Share * float64(c.limit))
+		wait = math.Min(wait, own)
+	}
+	return seconds(wait)
+}
+
+// Withdraw removes a queued ticket and reports whether it had not started.
+func (c *Controller) Withdraw(id uint64) bool {
+	for i := range c.classes {
+		q := c.classes[i].queue
+		for j := range q {
+			if q[j].ID == id {
+				c.classes[i].queue = append(q[:j], q[j+1:]...)
+				c.queued--
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Result tells how started work ended.
+type Result struct {
+	Shed   bool // the upstream refused the work
+	Failed bool // the service time says nothing about the class
+}
+
+// Done releases the slot of started work and returns the verdicts that follow.
+func (c *Controller) Done(now time.Time, id uint64, res Result) []Verdict {
+	r, ok := c.running[id]
+	if !ok {
+		return nil
+	}
+	c.accrue(now)
+	delete(c.running, id)
+	took := now.Sub(r.start).Seconds()
+	k := &c.classes[r.class]
+	k.credit += r.cost - took
+	if !res.Shed && !res.Failed {
+		k.learn(took)
+	}
+	c.adapt(now, res)
+	return c.dispatch(now, nil)
+}
+
+func (k *class) learn(took float64) {
+	if k.mean == 0 {
+		k.mean = took
+		return
+	}
+	k.mean += serviceWeight * (took - k.mean)
+}
+
+// adapt lowers the limit when the upstream sheds and raises it again after completions at the limit.
+func (c *Controller) adapt(now time.Time, res Result) {
+	if res.Shed {
+		c.streak = 0
+		if now.Sub(c.cut) >= shedHold {
+			c.cut = now
+			c.limit = max(1, min(c.limit, len(c.running)+1)-1)
+		}
+		return
+	}
+	if c.limit == c.slots || len(c.running)+1 < c.limit {
+		return
+	}
+	c.streak++
+	if c.streak >= growAfter {
+		c.streak = 0
+		c.limit++
+	}
+}
+
+// Tick refuses queued tickets whose deadline has passed and starts what can start.
+func (c *Controller) Tick(now time.Time) []Verdict {
+	c.accrue(now)
+	return c.dispatch(now, c.expire(now))
+}
+
+func (c *Controller) expire(now time.Time) []Verdict {
+	var out []Verdict
+	for i := range c.classes {
+		q := c.classes[i].queue
+		keep := q[:0]
+		for _, t := range q {
+			if now.Before(t.Deadline) {
+				keep = append(keep, t)
+				continue
+			}
+			c.queued--
+			out = append(out, Verdict{ID: t.ID, Reason: Expired})
+		}
+		c.classes[i].queue = keep
+	}
+	return out
+}
+
+// accrue adds the guaranteed share of the time since the last call to each class.
+func (c *Controller) accrue(now time.Time) {
+	dt := now.Sub(c.last).Seconds()
+	if c.last.IsZero() || dt < 0 {
+		dt = 0
+	}
+	c.last = now
+	for i := range c.classes {
+		k := &c.classes[i]
+		rate := k.Share * float64(c.limit)
+		bound := rate*creditWindow.Seconds() + k.mean
+		k.credit = max(-bound, min(bound, k.credit+rate*dt))
+	}
+}
+
+// dispatch starts queued tickets while slots are free: classes within their share first, each group by priority.
+func (c *Controller) dispatch(now time.Time, out []Verdict) []Verdict {
+	for c.queued > 0 && len(c.running) < c.limit {
+		i := c.next()
+		k := &c.classes[i]
+		t := k.queue[0]
+		k.queue = k.queue[1:]
+		c.queued--
+		if !now.Before(t.Deadline) {
+			out = append(out, Verdict{ID: t.ID, Reason: Expired})
+			continue
+		}
+		k.credit -= k.mean
+		c.running[t.ID] = running{class: i, start: now, cost: k.mean}
+		out = append(out, Verdict{ID: t.ID, Start: true})
+	}
+	return out
+}
+
+func (c *Controller) next() int {
+	first := -1
+	for _, i := range c.order {
+		k := &c.classes[i]
+		if len(k.queue) == 0 {
+			continue
+		}
+		if k.credit > 0 && k.Share > 0 {
+			return i
+		}
+		if first < 0 {
+			first = i
+		}
+	}
+	return first
+}
+
+// Oldest returns the start of the oldest running work of the class and how much of it runs.
+func (c *Controller) Oldest(index int) (start time.Time, n int) {
+	for _, r := range c.running {
+		if r.class != index {
+			continue
+		}
+		n++
+		if start.IsZero() || r.start.Before(start) {
+			start = r.start
+		}
+	}
+	return start, n
+}
+
+// Load returns the figures that ride on answers.
+func (c *Controller) Load(now time.Time) Load {
+	l := Load{Running: len(c.running), Queued: c.queued, Limit: c.limit}
+	for i := range c.classes {
+		r := c.classes[i].refused
+		if !r.IsZero() && now.Sub(r) < refuseHold {
+			l.Refusing |= 1 << i
+		}
+	}
+	return l
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/bundle/document.go
@@ -0,0 +1,202 @@
+package bundle
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jasminevane/jasminevane/setting"
+)
+
+// Limits of a bundle's values.
+const (
+	maxPriority = 9
+	maxNameLen  = 63
+)
+
+// Document is a bundle as operators write it in TOML.
+type Document struct {
+	Policy   policyDoc    `toml:"policy" json:"policy"`
+	Teams    []teamDoc    `toml:"team" json:"team"`
+	Services []serviceDoc `toml:"service" json:"service"`
+	Classes  []classDoc   `toml:"class" json:"class"`
+	Routes   []routeDoc   `toml:"route" json:"route"`
+	Callers  []callerDoc  `toml:"caller" json:"caller"`
+}
+
+type policyDoc struct {
+	Signoffs     int              `toml:"signoffs" json:"signoffs"`
+	KeyRetention setting.Duration `toml:"key_retention" json:"key_retention"`
+	Retries      float64          `toml:"retries" json:"retries"`
+	LinkBytes    setting.Size     `toml:"link_bytes" json:"link_bytes"`
+}
+
+type teamDoc struct {
+	Name    string   `toml:"name" json:"name"`
+	Signers []string `toml:"signers" json:"signers"`
+}
+
+type serviceDoc struct {
+	Name  string   `toml:"name" json:"name"`
+	Team  string   `toml:"team" json:"team,omitempty"`
+	Hosts []string `toml:"hosts" json:"hosts"`
+	Floor float64  `toml:"floor" json:"floor"`
+}
+
+type classDoc struct {
+	Service    string           `toml:"service" json:"service"`
+	Name       string           `toml:"name" json:"name"`
+	Priority   int              `toml:"priority" json:"priority"`
+	Share      float64          `toml:"share" json:"share"`
+	Idempotent bool             `toml:"idempotent" json:"idempotent"`
+	Timeout    setting.Duration `toml:"timeout" json:"timeout"`
+	Spill      bool             `toml:"spill" json:"spill,omitempty"`
+}
+
+type routeDoc struct {
+	Service string `toml:"service" json:"service"`
+	Prefix  string `toml:"prefix" json:"prefix"`
+	Method  string `toml:"method" json:"method"`
+	Class   string `toml:"class" json:"class"`
+}
+
+type callerDoc struct {
+	Name  string  `toml:"name" json:"name"`
+	Rate  float64 `toml:"rate" json:"rate"`
+	Burst float64 `toml:"burst" json:"burst"`
+}
+
+// Parse decodes and checks a TOML bundle; the error is a *setting.Error that lists all faults.
+func Parse(file string, data []byte) (*Bundle, error) {
+	var d Document
+	if err := setting.Decode(file, data, &d); err != nil {
+		return nil, err
+	}
+	return build(&d)
+}
+
+// Check implements setting.Checker.
+func (d *Document) Check() []setting.Problem {
+	var c checker
+	c.policy(d.Policy)
+	c.teams(d)
+	c.services(d)
+	c.classes(d)
+	c.routes(d)
+	c.callers(d)
+	return c.problems
+}
+
+type checker struct {
+	problems []setting.Problem
+	seen     map[string]bool
+}
+
+func (c *checker) add(key, format string, args ...any) {
+	c.problems = append(c.problems, setting.NewProblem(key, format, args...))
+}
+
+func (c *checker) name(key, name string) {
+	bad := strings.ContainsFunc(name, func(r rune) bool {
+		return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-", r)
+	})
+	if name == "" || len(name) > maxNameLen || bad {
+		c.add(key, "%q is not a name of 1 to %d lower-case letters, digits and hyphens", name, maxNameLen)
+	}
+}
+
+func (c *checker) unique(key, id string) {
+	if c.seen == nil {
+		c.seen = make(map[string]bool)
+	}
+	if c.seen[id] {
+		c.add(key, "%s is given twice", id)
+	}
+	c.seen[id] = true
+}
+
+func (c *checker) policy(p policyDoc) {
+	if p.Signoffs < 1 {
+		c.add("policy.signoffs", "is %d, want at least 1", p.Signoffs)
+	}
+	if p.KeyRetention.Std() < time.Minute {
+		c.add("policy.key_retention", "is %v, want at least 1m", p.KeyRetention.Std())
+	}
+	if p.Retries < 0 || p.Retries > 1 {
+		c.add("policy.retries", "is %g, want 0 to 1", p.Retries)
+	}
+}
+
+func (c *checker) teams(d *Document) {
+	for i, t := range d.Teams {
+		key := fmt.Sprintf("team[%d].name", i)
+		c.name(key, t.Name)
+		c.unique(key, "team/"+t.Name)
+	}
+}
+
+func (c *checker) services(d *Document) {
+	for i, s := range d.Services {
+		key := fmt.Sprintf("service[%d]", i)
+		c.name(key+".name", s.Name)
+		c.unique(key+".name", "service/"+s.Name)
+		if s.Team != "" && !c.seen["team/"+s.Team] {
+			c.add(key+".team", "team %q is not declared", s.Team)
+		}
+		if len(s.Hosts) == 0 {
+			c.add(key+".hosts", "is empty")
+		}
+		for _, h := range s.Hosts {
+			c.unique(key+".hosts", "host/"+h)
+		}
+		if s.Floor < 0 || s.Floor > 1 {
+			c.add(key+".floor", "is %g, want 0 to 1", s.Floor)
+		}
+	}
+}
+
+func (c *checker) classes(d *Document) {
+	shares := make(map[string]float64)
+	for i, k := range d.Classes {
+		key := fmt.Sprintf("class[%d]", i)
+		c.name(key+".name", k.Name)
+		c.unique(key+".name", "class/"+k.Service+"/"+k.Name)
+		if !c.seen["service/"+k.Service] {
+			c.add(key+".service", "service %q is not declared", k.Service)
+		}
+		if k.Priority < 0 || k.Priority > maxPriority {
+			c.add(key+".priority", "is %d, want 0 (most urgent) to %d", k.Priority, maxPriority)
+		}
+		if k.Timeout <= 0 {
+			c.add(key+".timeout", "is not set")
+		}
+		shares[k.Service] += k.Share
+		if k.Share < 0 || shares[k.Service] > 1 {
+			c.add(key+".share", "shares of service %q add up to %g, want 0 to 1", k.Service, shares[k.Service])
+		}
+	}
+}
+
+func (c *checker) routes(d *Document) {
+	for i, r := range d.Routes {
+		key := fmt.Sprintf("route[%d]", i)
+		if !c.seen["class/"+r.Service+"/"+r.Class] {
+			c.add(key+".class", "class %q of service %q is not declared", r.Class, r.Service)
+		}
+		if !strings.HasPrefix(r.Prefix, "/") {
+			c.add(key+".prefix", "%q does not start with /", r.Prefix)
+		}
+		c.unique(key+".prefix", "route/"+r.Service+" "+r.Method+" "+r.Prefix)
+	}
+}
+
+func (c *checker) callers(d *Document) {
+	for i, k := range d.Callers {
+		key := fmt.Sprintf("caller[%d]", i)
+		c.name(key+".name", k.Name)
+		c.unique(key+".name", "caller/"+k.Name)
+		if k.Rate <= 0 {
+			c.add(key+".rate", "is %g, want more than 0 requests a second", k.Rate)
+		}
+	}
+}
--- /dev/null
+++ b/caller/problem.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/pkg/errors"
+)
+
+// problem is an error answer in the form of RFC 9457.
+type problem struct {
+	Type    string          `json:"type"`
+	Title   string          `json:"title"`
+	Status  int             `json:"status"`
+	Detail  string          `json:"detail,omitempty"`
+	Code    outcome.Code    `json:"code"`
+	Outcome outcome.Outcome `json:"outcome"`
+	Request string          `json:"request,omitempty"`
+}
+
+// statuses maps codes to HTTP statuses; all others are 503.
+var statuses = map[outcome.Code]int{
+	outcome.CodeNoRoute:    http.StatusNotFound,
+	outcome.CodeBadRequest: http.StatusBadRequest,
+	outcome.CodeTooLarge:   http.StatusRequestEntityTooLarge,
+	outcome.CodeLimit:      http.StatusTooManyRequests,
+	outcome.CodeExpired:    http.StatusGatewayTimeout,
+	outcome.CodeTimeout:    http.StatusGatewayTimeout,
+	outcome.CodeUpstream:   http.StatusBadGateway,
+	outcome.CodeTruncated:  http.StatusBadGateway,
+	outcome.CodeCrossed:    http.StatusBadGateway,
+	outcome.CodePath:       http.StatusBadGateway,
+	outcome.CodeKeyReused:  http.StatusUnprocessableEntity,
+	outcome.CodeKeyMemory:  http.StatusBadGateway,
+	outcome.CodeKeyLost:    http.StatusConflict,
+}
+
+func status(e *outcome.Error) int {
+	if s, ok := statuses[e.Code]; ok {
+		return s
+	}
+	return http.StatusServiceUnavailable
+}
+
+// sendProblem answers with the error; requestID may be empty.
+func sendProblem(w http.ResponseWriter, requestID string, err error) {
+	var e *outcome.Error
+	if !errors.As(err, &e) {
+		e = outcome.NewError(outcome.Unknown, outcome.CodePath, err)
+	}
+	h := w.Header()
+	s := status(e)
+	if e.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.Retry.Seconds()))))
+	} else if s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
+		h.Set("Retry-After", "1")
+	}
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(outcome.Header, string(e.Outcome))
+	p := problem{
+		Type:    "about:blank",
+		Title:   http.StatusText(s),
+		Status:  s,
+		Code:    e.Code,
+		Outcome: e.Outcome,
+		Request: requestID,
+	}
+	if e.Err != nil {
+		p.Detail = e.Err.Error()
+	}
+	w.WriteHeader(s)
+	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+}
--- /dev/null
+++ b/caller/request.go
@@ -0,0 +1,83 @@
+package caller
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jasminevane/jasminevane/bundle"
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/pkg/errors"
+)
+
+// Headers of the contract with callers.
+const (
+	CallerHeader  = "Caller"              // name of the caller
+	TimeoutHeader = "Request-Timeout"     // milliseconds that the caller waits
+	KeyHeader     = "Idempotency-Key"     // names a request so that a repeat does not run again
+	TryHeader     = "Idempotency-Attempt" // 1 says that no earlier request with the key was sent
+	RequestHeader = "Request-Id"          // names one request in logs and in the time line
+)
+
+// Bounds of a request.
+const (
+	maxKey     = 128 // bytes
+	minTimeout = time.Millisecond
+)
+
+// Request is a request of a caller on its way through the fleet.
+type Request struct {
+	ID       string
+	Caller   string
+	Match    bundle.Match
+	Key      string
+	Fresh    bool
+	Deadline time.Time
+	HTTP     *http.Request
+	Body     *Body
+}
+
+// parse reads the head of a request; the error is an *outcome.Error.
+func parse(b *bundle.Bundle, req *http.Request, now time.Time) (*Request, error) {
+	if b.Len() == 0 {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, errors.New("no bundle is in force yet"))
+	}
+	m, ok := b.Route(req.Host, req.Method, req.URL.Path)
+	if !ok {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
+	}
+	r := &Request{Caller: req.Header.Get(CallerHeader), Match: m, Key: req.Header.Get(KeyHeader), HTTP: req}
+	r.Fresh = req.Header.Get(TryHeader) == "1"
+	if len(r.Key) > maxKey {
+		return nil, badRequest("%s has more than %d bytes", KeyHeader, maxKey)
+	}
+	timeout, err := timeout(req.Header.Get(TimeoutHeader), m.Class.Timeout())
+	if err != nil {
+		return nil, err
+	}
+	r.Deadline = now.Add(timeout)
+	r.ID = req.Header.Get(RequestHeader)
+	if r.ID == "" || len(r.ID) > maxKey {
+		r.ID = uuid.NewString()
+	}
+	return r, nil
+}
+
+func badRequest(format string, args ...any) error {
+	return outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, errors.Errorf(format, args...))
+}
+
+func timeout(text string, longest time.Duration) (time.Duration, error) {
+	if text == "" {
+		return longest, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, badRequest("%s %q is not a positive number of milliseconds", TimeoutHeader, text)
+	}
+	return max(minTimeout, min(longest, time.Duration(ms)*time.Millisecond)), nil
+}
+
+// Repeated reports whether an earlier request with the same key may have run, so that only the owner of the key can say that it did not.
+func (r *Request) Repeated() bool { return r.Key != "" && !r.Fresh && !r.Match.Class.Idempotent() }
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,126 @@
+package event
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind names a type of event.
+type Kind string
+
+// The kinds of events that a process records.
+const (
+	Start     Kind = "start"
+	Stop      Kind = "stop"
+	Join      Kind = "join"
+	Leave     Kind = "leave"
+	Dead      Kind = "dead"
+	Announce  Kind = "announce"
+	Drain     Kind = "drain"
+	Gone      Kind = "gone"
+	Eject     Kind = "eject"
+	Trial     Kind = "trial"
+	Restore   Kind = "restore"
+	Avoid     Kind = "avoid"
+	Retry     Kind = "retry"
+	Refuse    Kind = "refuse"
+	Unknown   Kind = "unknown"
+	Bundle    Kind = "bundle"
+	Reject    Kind = "reject"
+	Owner     Kind = "owner"
+	Fence     Kind = "fence"
+	StoreDown Kind = "storedown"
+	StoreUp   Kind = "storeup"
+)
+
+// Event is one recorded decision or observation.
+type Event struct {
+	Stamp    Stamp  `json:"stamp"`
+	Node     string `json:"node"`
+	Kind     Kind   `json:"kind"`
+	Upstream string `json:"upstream,omitempty"`
+	Request  string `json:"request,omitempty"`
+	Text     string `json:"text,omitempty"`
+}
+
+// Ring keeps the newest events up to a fixed count; the zero value keeps none.
+type Ring struct {
+	node  string
+	clock *Clock
+	mu    sync.Mutex
+	buf   []Event
+	next  int
+}
+
+// NewRing returns a ring of size events recorded under the node's name.
+func NewRing(node string, clock *Clock, size int) *Ring {
+	return &Ring{node: node, clock: clock, buf: make([]Event, 0, size)}
+}
+
+// Add stamps and keeps e, dropping the oldest event when the ring is full.
+func (r *Ring) Add(e Event) {
+	if r == nil || cap(r.buf) == 0 {
+		return
+	}
+	e.Node = r.node
+	e.Stamp = r.clock.Now(time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.buf) < cap(r.buf) {
+		r.buf = append(r.buf, e)
+		return
+	}
+	r.buf[r.next] = e
+	r.next = (r.next + 1) % len(r.buf)
+}
+
+// Events returns the kept events that match f, oldest first.
+func (r *Ring) Events(f Filter) []Event {
+	if r == nil {
+		return nil
+	}
+	r.mu.Lock()
+	all := make([]Event, 0, len(r.buf))
+	all = append(all, r.buf[r.next:]...)
+	all = append(all, r.buf[:r.next]...)
+	r.mu.Unlock()
+	out := all[:0]
+	for _, e := range all {
+		if f.match(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Filter selects events; an empty field matches all.
+type Filter struct {
+	Node     string
+	Kind     Kind
+	Upstream string
+	Request  string
+}
+
+func (f Filter) match(e Event) bool {
+	return (f.Node == "" || f.Node == e.Node) &&
+		(f.Kind == "" || f.Kind == e.Kind) &&
+		(f.Upstream == "" || f.Upstream == e.Upstream) &&
+		(f.Request == "" || strings.HasPrefix(e.Request, f.Request))
+}
+
+// Merge joins the events of several processes into one order by stamp, then node.
+func Merge(lists ...[]Event) []Event {
+	var out []Event
+	for _, l := range lists {
+		out = append(out, l...)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if out[i].Stamp != out[j].Stamp {
+			return out[i].Stamp < out[j].Stamp
+		}
+		return out[i].Node < out[j].Node
+	})
+	return out
+}
--- /dev/null
+++ b/jasminectl/main.go
@@ -0,0 +1,26 @@
+// Command jasminectl is the operators' command.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "jasminectl",
+		Usage: "publish, review and roll bundles, and look at the fleet",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "admin", Usage: "admin address of any node", Value: "127.0.0.1:8083"},
+			&cli.StringFlag{Name: "token", Usage: "bearer token", Sources: cli.EnvVars("JASMINE_TOKEN")},
+		},
+		Commands: []*cli.Command{keyCommand(), bundleCommand(), statusCommand(), membersCommand(), upstreamsCommand(), timelineCommand()},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/jasmined/main.go
@@ -0,0 +1,48 @@
+// Command jasmined is the process of the fleet that runs beside upstreams.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jasminevane/jasminevane/node"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "jasmined",
+		Usage: "route, admit and protect the requests of a fleet",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings in TOML", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	cfg, err := node.LoadSettings(cmd.String("config"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		fmt.Println("settings are valid")
+		return nil
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(os.Stderr, cfg)})
+	if err != nil {
+		return errors.Wrap(err, "start")
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/jasminelab/experiment/doc.go
@@ -0,0 +1,2 @@
+// Package experiment measures the fleet against the bounds of its targets.
+package experiment
--- /dev/null
+++ b/jasminelab/fleet/fleet.go
@@ -0,0 +1,393 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/jasminevane/jasminevane/bundle"
+	"github.com/jasminevane/jasminevane/jasminelab/link"
+	"github.com/jasminevane/jasminevane/jasminelab/logstand"
+	"github.com/jasminevane/jasminevane/jasminelab/upstand"
+	"github.com/jasminevane/jasminevane/keyring"
+	"github.com/jasminevane/jasminevane/node"
+	"github.com/jasminevane/jasminevane/operator"
+	"github.com/jasminevane/jasminevane/rollout"
+	"github.com/pkg/errors"
+)
+
+const (
+	startWait    = 10 * time.Second
+	stopWait     = 30 * time.Second
+	readyWait    = 20 * time.Second
+	appendRate   = 300 // appends a second
+	pollInterval = 20 * time.Millisecond
+)
+
+// Node is one node process.
+type Node struct {
+	Name  string
+	Site  Site
+	Addr  node.Addresses
+	cmd   *exec.Cmd
+	done  chan struct{}
+	fleet *Fleet
+	dead  atomic.Bool
+}
+
+// Fleet is a deployment that runs.
+type Fleet struct {
+	Shape  Shape
+	Log    *logstand.Log
+	Link   *link.Link
+	Store  string
+	Keys   []keyring.Secret
+	dir    string
+	http   *http.Server
+	mu     sync.Mutex
+	nodes  []*Node
+	ups    []*upstand.Server
+	beside map[string]string // upstream by node
+	next   int
+	seed   uint64
+	ctx    context.Context
+}
+
+// Options vary a fleet.
+type Options struct {
+	Seed       uint64
+	Retention  time.Duration
+	NoUpstream bool
+	Nodes      int // nodes without upstreams besides
+}
+
+// Start brings up the deployment: one node beside each server.
+func Start(ctx context.Context, shape Shape, opt Options) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "jasminelab")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Shape: shape, dir: dir, seed: opt.Seed, ctx: ctx,
+		Log:    logstand.New(appendRate, opt.Retention, opt.Seed),
+		beside: make(map[string]string),
+	}
+	for _, name := range []string{"ana", "bruno"} {
+		k, err := keyring.Generate(name)
+		if err != nil {
+			return nil, err
+		}
+		f.Keys = append(f.Keys, k)
+	}
+	if f.Link, err = link.Listen(shape.Link); err != nil {
+		return nil, err
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	f.Store = "http://" + ln.Addr().String()
+	f.http = &http.Server{Handler: f.Log.Handler()}
+	go func() { _ = f.http.Serve(ln) }()
+	return f, f.populate(opt)
+}
+
+func (f *Fleet) populate(opt Options) error {
+	type place struct {
+		service Service
+		number  int
+	}
+	var places []place
+	for _, s := range f.Shape.Services {
+		for i := range s.Servers {
+			places = append(places, place{s, i})
+		}
+	}
+	for i := range places {
+		site := f.Shape.Sites[i%len(f.Shape.Sites)]
+		n, err := f.AddNode(site)
+		if err != nil {
+			return err
+		}
+		if opt.NoUpstream {
+			continue
+		}
+		if err := f.addUpstream(places[i].service, places[i].number, n); err != nil {
+			return err
+		}
+	}
+	for i := range opt.Nodes {
+		if _, err := f.AddNode(f.Shape.Sites[i%len(f.Shape.Sites)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) addUpstream(s Service, number int, n *Node) error {
+	cfg := upstand.Config{
+		ID: fmt.Sprintf("%s-%d", s.Name, number), Service: s.Name, Slots: f.Shape.Slots, Conns: f.Shape.Conns,
+		Mean: s.Mean, Sigma: s.Sigma, Size: f.Shape.Size, Seed: f.seed*1000 + uint64(len(f.ups)),
+	}
+	u, err := upstand.Start(cfg, n.Addr.Upstream)
+	if err != nil {
+		return err
+	}
+	f.ups = append(f.ups, u)
+	f.beside[n.Name] = cfg.ID
+	return nil
+}
+
+// AddNode starts one more node at the site.
+func (f *Fleet) AddNode(site Site) (*Node, error) {
+	f.mu.Lock()
+	f.next++
+	name := fmt.Sprintf("%s-%d", site.Name, f.next)
+	var seeds []string
+	for _, n := range f.nodes {
+		if len(seeds) < 3 {
+			seeds = append(seeds, fmt.Sprintf("%q", n.Addr.Peer))
+		}
+	}
+	f.mu.Unlock()
+	file := filepath.Join(f.dir, name+".toml")
+	text := fmt.Sprintf(`name = %q
+region = %q
+data_centre = %q
+[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+upstream = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+[peers]
+seeds = [%s]
+[platform]
+log = %q
+[trust]
+keys = [%q, %q]
+[log]
+level = %q
+`, name, site.Region, site.Name, strings.Join(seeds, ", "), f.Store, f.Keys[0].Public(), f.Keys[1].Public(), logLevel())
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	return f.spawn(name, site, file)
+}
+
+func logLevel() string {
+	if os.Getenv("JASMINELAB_DEBUG") != "" {
+		return "info"
+	}
+	return "error"
+}
+
+func (f *Fleet) spawn(name string, site Site, file string) (*Node, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	f.Link.Place(link.Site{Name: name, DataCentre: site.Name, Region: site.Region}, "")
+	cmd := exec.Command(self, "node", "--config", file, "--link", f.Link.Addr())
+	cmd.Stderr = os.Stderr
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, "start node")
+	}
+	n := &Node{Name: name, Site: site, cmd: cmd, done: make(chan struct{}), fleet: f}
+	line := make(chan string, 1)
+	go func() {
+		s, _ := bufio.NewReader(out).ReadString('\n')
+		line <- s
+		_ = cmd.Wait()
+		close(n.done)
+	}()
+	select {
+	case s := <-line:
+		if err := json.Unmarshal([]byte(s), &n.Addr); err != nil {
+			return nil, errors.Wrapf(err, "node %s did not start", name)
+		}
+	case <-time.After(startWait):
+		return nil, errors.Errorf("node %s did not start in %v", name, startWait)
+	}
+	f.Link.Place(link.Site{Name: name, DataCentre: site.Name, Region: site.Region}, n.Addr.Peer)
+	f.mu.Lock()
+	f.nodes = append(f.nodes, n)
+	f.mu.Unlock()
+	return n, nil
+}
+
+// Nodes returns the nodes that run.
+func (f *Fleet) Nodes() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Node(nil), f.nodes...)
+}
+
+// Upstreams returns the servers of a service, or all for "".
+func (f *Fleet) Upstreams(service string) []*upstand.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*upstand.Server
+	for _, u := range f.ups {
+		if service == "" || u.Service() == service {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Beside returns the server beside the node, or nil.
+func (f *Fleet) Beside(n *Node) *upstand.Server {
+	for _, u := range f.Upstreams("") {
+		if u.ID() == f.beside[n.Name] {
+			return u
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) remove(n *Node) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, o := range f.nodes {
+		if o == n {
+			f.nodes = append(f.nodes[:i:i], f.nodes[i+1:]...)
+			return
+		}
+	}
+}
+
+// Killed reports whether the node was ended at once.
+func (n *Node) Killed() bool { return n.dead.Load() }
+
+// Kill ends the node at once.
+func (n *Node) Kill() {
+	n.dead.Store(true)
+	n.fleet.remove(n)
+	_ = n.cmd.Process.Kill()
+	<-n.done
+}
+
+// Stop ends the node gracefully; callers find it until it refuses connections.
+func (n *Node) Stop() (err error) {
+	_ = n.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-n.done:
+	case <-time.After(stopWait):
+		n.dead.Store(true)
+		_ = n.cmd.Process.Kill()
+		<-n.done
+		err = errors.Errorf("node %s did not stop in %v", n.Name, stopWait)
+	}
+	n.fleet.remove(n)
+	return err
+}
+
+// Pause stops the process for a while; it goes on by itself.
+func (n *Node) Pause(d time.Duration) {
+	_ = n.cmd.Process.Signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { _ = n.cmd.Process.Signal(syscall.SIGCONT) })
+}
+
+// Pid returns the process id of the node.
+func (n *Node) Pid() int { return n.cmd.Process.Pid }
+
+// Admin returns a client of the node's administration API.
+func (n *Node) Admin() *operator.Client { return operator.NewClient(n.Addr.Admin, "") }
+
+// Replace starts a node at the same site that takes over the server beside the former one.
+func (f *Fleet) Replace(old *Node) (*Node, error) {
+	n, err := f.AddNode(old.Site)
+	if err != nil {
+		return nil, err
+	}
+	if u := f.Beside(old); u != nil {
+		f.mu.Lock()
+		f.beside[n.Name] = u.ID()
+		delete(f.beside, old.Name)
+		f.mu.Unlock()
+		u.Move(n.Addr.Upstream)
+	}
+	return n, nil
+}
+
+// Close ends all processes and stand-ins.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes() {
+		_ = n.cmd.Process.Signal(syscall.SIGCONT)
+		_ = n.cmd.Process.Kill()
+		<-n.done
+	}
+	for _, u := range f.ups {
+		u.Close()
+	}
+	f.Link.Close()
+	_ = f.http.Close()
+	_ = os.RemoveAll(f.dir)
+}
+
+// Publish rolls a bundle in TOML as operators do, and returns what became of it.
+func (f *Fleet) Publish(ctx context.Context, text string, n *Node) (rollout.Fate, error) {
+	b, err := bundle.Parse("bundle.toml", []byte(text))
+	if err != nil {
+		return rollout.Fate{}, err
+	}
+	return operator.Publish(ctx, n.Admin(), b, f.Keys...)
+}
+
+// Ready waits until every node knows all others, serves the version and all shards have an owner.
+func (f *Fleet) Ready(ctx context.Context, version uint64) error {
+	end := time.Now().Add(readyWait)
+	var last string
+	for time.Now().Before(end) {
+		ok := true
+		serving := 0
+		for _, n := range f.Nodes() {
+			st, err := n.Admin().Status(ctx)
+			if err != nil || st.Version < version || st.Members != len(f.Nodes()) {
+				ok, last = false, fmt.Sprintf("%s: version %d, members %d of %d, %v", n.Name, st.Version, st.Members, len(f.Nodes()), err)
+				break
+			}
+			serving += st.Serving
+		}
+		if ok && serving == 1024 {
+			return nil
+		}
+		if ok {
+			last = fmt.Sprintf("%d shards served", serving)
+		}
+		time.Sleep(5 * pollInterval)
+	}
+	return errors.Errorf("fleet is not ready: %s", last)
+}
+
+// Up starts the deployment and puts its bundle in force.
+func Up(ctx context.Context, shape Shape, opt Options) (*Fleet, error) {
+	f, err := Start(ctx, shape, opt)
+	if err != nil {
+		return f, err
+	}
+	fate, err := f.Publish(ctx, shape.Bundle(), f.nodes[0])
+	if err != nil {
+		return f, err
+	}
+	if fate.Result != rollout.Accepted {
+		return f, errors.Errorf("bundle: %s %s", fate.Result, fate.Text)
+	}
+	return f, f.Ready(ctx, 1)
+}
--- /dev/null
+++ b/jasminelab/fleet/shape.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jasminevane/jasminevane/jasminelab/link"
+)
+
+// Service is a service of a deployment with its upstreams.
+type Service struct {
+	Name    string
+	Host    string
+	Servers int
+	Floor   float64
+	Mean    time.Duration
+	Sigma   float64
+	Classes []Class
+}
+
+// Class is a class of work of a service, reached by one path prefix.
+type Class struct {
+	Name       string
+	Method     string
+	Prefix     string
+	Priority   int
+	Share      float64
+	Idempotent bool
+	Timeout    time.Duration
+	Spill      bool
+	Weight     float64 // share of the service's requests
+}
+
+// Site is a data centre.
+type Site struct{ Name, Region string }
+
+// Shape describes a deployment.
+type Shape struct {
+	Name     string
+	Sites    []Site
+	Services []Service
+	Slots    int
+	Conns    int
+	Link     link.Config
+	Extra    string // further lines of the bundle
+	Size     int    // bytes of an answer
+}
+
+const linkRate = 30_000_000 / 8 // bytes a second between regions
+
+// Carritos returns the deployment of a booking and a tracking service; scale divides the number of servers.
+func Carritos(scale int) Shape {
+	return Shape{
+		Name:  "carritos",
+		Sites: []Site{{"pampa-a", "pampa"}, {"pampa-b", "pampa"}, {"cuyo-a", "cuyo"}, {"cuyo-b", "cuyo"}},
+		Slots: 5, Conns: 400, Size: 1024,
+		Link: link.Config{DataCentres: 1500 * time.Microsecond, Regions: 8 * time.Millisecond, Rate: linkRate},
+		Services: []Service{
+			{
+				Name: "reservas", Host: "reservas.test", Servers: max(4, 14/scale), Floor: 0.6, Mean: 20 * time.Millisecond, Sigma: 0.3,
+				Classes: []Class{
+					{"confirm", "POST", "/confirm", 0, 0.3, false, 2 * time.Second, true, 0.3},
+					{"check", "GET", "/check", 2, 0.3, true, time.Second, true, 0.5},
+					{"report", "GET", "/report", 6, 0.1, true, 2 * time.Second, false, 0.2},
+				},
+			},
+			{
+				Name: "flota", Host: "flota.test", Servers: max(4, 11/scale), Floor: 0.6, Mean: 10 * time.Millisecond, Sigma: 0.3,
+				Classes: []Class{
+					{"locate", "GET", "/locate", 2, 0.4, true, time.Second, true, 0.7},
+					{"sweep", "GET", "/sweep", 8, 0.1, true, 2 * time.Second, false, 0.3},
+				},
+			},
+		},
+	}
+}
+
+// Foldlab returns the deployment of an ordering and a diagram service.
+func Foldlab(scale int) Shape {
+	return Shape{
+		Name:  "foldlab",
+		Sites: []Site{{"vejle-a", "vestdanmark"}, {"herning-b", "vestdanmark"}, {"holbaek-a", "oestdanmark"}, {"naestved-b", "oestdanmark"}},
+		Slots: 3, Conns: 330, Size: 1024,
+		Link: link.Config{DataCentres: time.Millisecond, Regions: 8 * time.Millisecond, Rate: linkRate},
+		Services: []Service{
+			{
+				Name: "commissions", Host: "commissions.test", Servers: max(4, 11/scale), Floor: 0.6, Mean: 20 * time.Millisecond, Sigma: 0.3,
+				Classes: []Class{
+					{"order", "POST", "/order", 0, 0.4, false, 2 * time.Second, true, 0.5},
+					{"status", "GET", "/status", 3, 0.2, true, time.Second, true, 0.5},
+				},
+			},
+			{
+				Name: "diagrams", Host: "diagrams.test", Servers: max(4, 8/scale), Floor: 0.75, Mean: 15 * time.Millisecond, Sigma: 0.3,
+				Classes: []Class{
+					{"lookup", "GET", "/lookup", 1, 0.5, true, time.Second, true, 0.8},
+					{"crawl", "GET", "/crawl", 8, 0.1, true, 2 * time.Second, false, 0.2},
+				},
+			},
+		},
+	}
+}
+
+// Bundle returns the deployment's bundle in TOML.
+func (s Shape) Bundle() string {
+	var b strings.Builder
+	b.WriteString("[policy]\nsignoffs = 2\nkey_retention = \"10m\"\nretries = 0.1\nlink_bytes = \"0B\"\n")
+	for _, v := range s.Services {
+		fmt.Fprintf(&b, "\n[[service]]\nname = %q\nhosts = [%q]\nfloor = %g\n", v.Name, v.Host, v.Floor)
+		for _, c := range v.Classes {
+			fmt.Fprintf(&b, "\n[[class]]\nservice = %q\nname = %q\npriority = %d\nshare = %g\nidempotent = %v\ntimeout = %q\nspill = %v\n",
+				v.Name, c.Name, c.Priority, c.Share, c.Idempotent, c.Timeout, c.Spill)
+			fmt.Fprintf(&b, "\n[[route]]\nservice = %q\nprefix = %q\nmethod = %q\nclass = %q\n", v.Name, c.Prefix, c.Method, c.Name)
+		}
+	}
+	b.WriteString(s.Extra)
+	return b.String()
+}
+
+// Capacity returns the requests a second that the servers of the service can run.
+func (s Shape) Capacity(v Service) float64 {
+	return float64(v.Servers*s.Slots) / v.Mean.Seconds()
+}
--- /dev/null
+++ b/jasminelab/load/load.go
@@ -0,0 +1,241 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jasminevane/jasminevane/jasminelab/fleet"
+	"github.com/jasminevane/jasminevane/jasminelab/upstand"
+	"github.com/pkg/errors"
+)
+
+const (
+	maxInFlight = 8000
+	repeatPause = 50 * time.Millisecond
+	bodyBytes   = 200
+	slack       = 2 * time.Second // time beyond the class's timeout for which a caller waits
+)
+
+// Stream is one class of work sent at a rate.
+type Stream struct {
+	Service fleet.Service
+	Class   fleet.Class
+	Rate    float64 // requests a second
+	Callers int     // different callers; 0 for none
+	Caller  string  // fixed caller, if any
+	Key     bool    // send an idempotency key
+	Repeats int     // repeats after an unknown outcome, through other nodes
+	Direct  string  // address of a server to be called without the fleet
+	Paced   bool    // at even intervals instead of random ones
+}
+
+// Record is one request as its caller saw it.
+type Record struct {
+	Stream  *Stream
+	Tag     string
+	At      time.Time // when it should have been sent
+	Took    time.Duration
+	Status  int
+	Outcome string
+	Code    string
+	Whole   bool // the body is the whole answer to this request
+	Crossed bool // the body belongs to another request
+	Cut     bool // the connection broke at a node that was not killed
+	Killed  bool // the connection broke at a node that was killed
+	Tries   int
+}
+
+// Generator sends streams to the nodes of a fleet.
+type Generator struct {
+	fleet   *fleet.Fleet
+	client  *http.Client
+	mu      sync.Mutex
+	records []Record
+	slots   chan struct{}
+	seq     atomic.Uint64
+	seed    uint64
+	wg      sync.WaitGroup
+	shed    atomic.Int64 // requests not sent because too many were in flight
+}
+
+// New returns a generator of load on the fleet.
+func New(f *fleet.Fleet, seed uint64) *Generator {
+	t := &http.Transport{MaxIdleConns: 0, MaxIdleConnsPerHost: 2000, IdleConnTimeout: time.Minute, DisableCompression: true}
+	return &Generator{fleet: f, client: &http.Client{Transport: t}, slots: make(chan struct{}, maxInFlight), seed: seed}
+}
+
+// Start sends the stream until ctx ends.
+func (g *Generator) Start(ctx context.Context, s *Stream) {
+	g.wg.Add(1)
+	go func() {
+		defer g.wg.Done()
+		g.send(ctx, s)
+	}()
+}
+
+// Wait waits for all requests in flight.
+func (g *Generator) Wait() {
+	g.wg.Wait()
+	g.client.CloseIdleConnections()
+}
+
+// Records returns all records so far.
+func (g *Generator) Records() []Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]Record(nil), g.records...)
+}
+
+// Unsent returns the requests that could not be sent because too many were in flight.
+func (g *Generator) Unsent() int64 { return g.shed.Load() }
+
+func (g *Generator) send(ctx context.Context, s *Stream) {
+	rnd := rand.New(rand.NewPCG(g.seed, g.seq.Add(1)))
+	next := time.Now()
+	for {
+		gap := rnd.ExpFloat64() / s.Rate
+		if s.Paced {
+			gap = 1 / s.Rate
+		}
+		next = next.Add(time.Duration(gap * float64(time.Second)))
+		if d := time.Until(next); d > 0 {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(d):
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		select {
+		case g.slots <- struct{}{}:
+		default:
+			g.shed.Add(1)
+			continue
+		}
+		g.wg.Add(1)
+		go func(at time.Time, seed uint64) {
+			defer g.wg.Done()
+			defer func() { <-g.slots }()
+			rec := g.one(s, at, rand.New(rand.NewPCG(seed, 3)))
+			g.mu.Lock()
+			g.records = append(g.records, rec)
+			g.mu.Unlock()
+		}(next, rnd.Uint64())
+	}
+}
+
+// one sends a request, and repeats of it while its outcome is unknown.
+func (g *Generator) one(s *Stream, at time.Time, rnd *rand.Rand) Record {
+	rec := Record{Stream: s, Tag: uuid.NewString(), At: at}
+	for rec.Tries = 1; ; rec.Tries++ {
+		g.try(s, &rec, rnd)
+		open := rec.Outcome == "unknown" || rec.Killed || rec.Cut
+		if !open || rec.Tries > s.Repeats {
+			break
+		}
+		time.Sleep(repeatPause)
+	}
+	rec.Took = time.Since(at)
+	return rec
+}
+
+// try sends the request to one node, or to another while none takes the connection.
+func (g *Generator) try(s *Stream, rec *Record, rnd *rand.Rand) {
+	rec.Status, rec.Outcome, rec.Code, rec.Whole = 0, "", "", false
+	rec.Cut, rec.Killed = false, false
+	for range 5 {
+		addr, n := s.Direct, (*fleet.Node)(nil)
+		if addr == "" {
+			nodes := g.fleet.Nodes()
+			n = nodes[rnd.IntN(len(nodes))]
+			addr = n.Addr.Caller
+		}
+		err := g.call(addr, s, rec, rnd)
+		if err == nil {
+			return
+		}
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			continue
+		}
+		rec.Killed = n != nil && n.Killed()
+		rec.Cut = !rec.Killed
+		return
+	}
+	rec.Outcome, rec.Code = "not-run", "no-node"
+}
+
+func (g *Generator) call(addr string, s *Stream, rec *Record, rnd *rand.Rand) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Class.Timeout+slack)
+	defer cancel()
+	var body io.Reader
+	if s.Class.Method == http.MethodPost {
+		body = struct{ io.Reader }{strings.NewReader(strings.Repeat("b", bodyBytes))}
+	}
+	req, err := http.NewRequestWithContext(ctx, s.Class.Method, "http://"+addr+s.Class.Prefix+"/1", body)
+	if err != nil {
+		return err
+	}
+	if body != nil {
+		req.ContentLength = bodyBytes
+	}
+	req.Host = s.Service.Host
+	req.Header.Set(upstand.TagHeader, rec.Tag)
+	req.Header.Set("Request-Id", rec.Tag)
+	switch {
+	case s.Caller != "":
+		req.Header.Set("Caller", s.Caller)
+	case s.Callers > 0:
+		req.Header.Set("Caller", fmt.Sprintf("caller-%d", rnd.IntN(s.Callers)))
+	}
+	if s.Key {
+		req.Header["idempotency-key"] = []string{rec.Tag}
+		req.Header.Set("Idempotency-Attempt", strconv.Itoa(rec.Tries))
+		if s.Callers > 0 {
+			req.Header.Set("Caller", "caller-0")
+		}
+	}
+	resp, err := g.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	rec.Status = resp.StatusCode
+	rec.Outcome = resp.Header.Get("Outcome")
+	rec.judge(resp, string(data))
+	return nil
+}
+
+// judge holds the answer against the request.
+func (r *Record) judge(resp *http.Response, body string) {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "application/problem+json") {
+		_, after, _ := strings.Cut(body, `"code":"`)
+		r.Code, _, _ = strings.Cut(after, `"`)
+		return
+	}
+	if resp.StatusCode == http.StatusInternalServerError {
+		r.Whole = body == r.Tag
+		r.Crossed = !r.Whole
+		return
+	}
+	tag, rest, _ := strings.Cut(body, ":")
+	size, _, _ := strings.Cut(rest, ":")
+	n, _ := strconv.Atoi(size)
+	r.Whole = tag == r.Tag && n == len(body)
+	r.Crossed = tag != r.Tag
+}
--- /dev/null
+++ b/jasminelab/upstand/doc.go
@@ -0,0 +1,2 @@
+// Package upstand is a stand-in of an upstream that shows gray failures and records all that it ran.
+package upstand
--- /dev/null
+++ b/keyring/keyring.go
@@ -0,0 +1,143 @@
+package keyring
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Public is a signer's name with the public half of a key.
+type Public struct {
+	name string
+	key  ed25519.PublicKey
+}
+
+// Name returns the signer's name.
+func (p Public) Name() string { return p.name }
+
+// String formats the key as name:base64.
+func (p Public) String() string {
+	return p.name + ":" + base64.StdEncoding.EncodeToString(p.key)
+}
+
+// ParsePublic parses a key written as name:base64.
+func ParsePublic(text string) (Public, error) {
+	name, raw, err := split(text, ed25519.PublicKeySize)
+	if err != nil {
+		return Public{}, errors.Wrap(err, "public key")
+	}
+	return Public{name: name, key: raw}, nil
+}
+
+// Secret is a signer's name with the private half of a key.
+type Secret struct {
+	name string
+	key  ed25519.PrivateKey
+}
+
+// Generate returns a new key for the named signer.
+func Generate(name string) (Secret, error) {
+	_, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return Secret{}, errors.Wrap(err, "generate key")
+	}
+	return Secret{name: name, key: key}, nil
+}
+
+// ParseSecret parses a key written as name:base64 of its seed.
+func ParseSecret(text string) (Secret, error) {
+	name, raw, err := split(strings.TrimSpace(text), ed25519.SeedSize)
+	if err != nil {
+		return Secret{}, errors.Wrap(err, "secret key")
+	}
+	return Secret{name: name, key: ed25519.NewKeyFromSeed(raw)}, nil
+}
+
+// Name returns the signer's name.
+func (s Secret) Name() string { return s.name }
+
+// Public returns the public half.
+func (s Secret) Public() Public {
+	return Public{name: s.name, key: s.key.Public().(ed25519.PublicKey)}
+}
+
+// String formats the secret as name:base64 of its seed.
+func (s Secret) String() string {
+	return s.name + ":" + base64.StdEncoding.EncodeToString(s.key.Seed())
+}
+
+// Sign returns the signature of msg.
+func (s Secret) Sign(msg []byte) Signature {
+	return Signature{Signer: s.name, Sig: ed25519.Sign(s.key, msg)}
+}
+
+// Signature is a signature with the name of its signer.
+type Signature struct {
+	Signer string `json:"signer"`
+	Sig    []byte `json:"sig"`
+}
+
+// Ring is a set of trusted public keys; a signer may hold several while keys are rotated.
+type Ring struct {
+	keys map[string][]ed25519.PublicKey
+}
+
+// NewRing returns a ring that trusts the given keys.
+func NewRing(keys ...Public) *Ring {
+	r := &Ring{keys: make(map[string][]ed25519.PublicKey)}
+	for _, k := range keys {
+		r.keys[k.name] = append(r.keys[k.name], k.key)
+	}
+	return r
+}
+
+// Verify reports whether sig was made over msg by a trusted key of its signer.
+func (r *Ring) Verify(msg []byte, sig Signature) bool {
+	for _, k := range r.keys[sig.Signer] {
+		if ed25519.Verify(k, msg, sig.Sig) {
+			return true
+		}
+	}
+	return false
+}
+
+// Count returns how many different signers made valid signatures over msg.
+func (r *Ring) Count(msg []byte, sigs []Signature) int {
+	seen := make(map[string]bool)
+	for _, s := range sigs {
+		if !seen[s.Signer] && r.Verify(msg, s) {
+			seen[s.Signer] = true
+		}
+	}
+	return len(seen)
+}
+
+func split(text string, size int) (string, []byte, error) {
+	name, enc, ok := strings.Cut(text, ":")
+	if !ok || name == "" {
+		return "", nil, errors.New("want name:base64")
+	}
+	raw, err := base64.StdEncoding.DecodeString(enc)
+	if err != nil {
+		return "", nil, errors.Wrapf(err, "key of %s", name)
+	}
+	if len(raw) != size {
+		return "", nil, &LengthError{name: name, got: len(raw), want: size}
+	}
+	return name, raw, nil
+}
+
+// LengthError reports a key of the wrong length in bytes.
+type LengthError struct {
+	name      string
+	got, want int
+}
+
+// Error implements error.
+func (e *LengthError) Error() string {
+	return fmt.Sprintf("key of %s has %d bytes, want %d", e.name, e.got, e.want)
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/operator"
+	"github.com/jasminevane/jasminevane/outlier"
+	"github.com/jasminevane/jasminevane/ownership"
+	"github.com/jasminevane/jasminevane/peer"
+	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/rollout"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Timing of administration.
+const (
+	submitTries   = 3
+	submitWait    = 3 * time.Second // time to read a record back
+	timelineWait  = 2 * time.Second // time for a node to send its events
+	timelineCalls = 16              // nodes asked at once
+)
+
+func (n *Node) adminHandler() http.Handler {
+	return operator.NewAPI(&admin{n}, operator.Config{
+		Token:   n.cfg.Admin.Token,
+		Pprof:   n.cfg.Admin.Pprof,
+		Metrics: promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}),
+		Ready:   func() bool { return !n.stop.Load() && n.Bundle().Len() > 0 },
+	})
+}
+
+func (n *Node) peerHandler() http.Handler {
+	path, control := peer.NewHandler(n)
+	forward := peer.ForwardHandler(n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, path) {
+			control.ServeHTTP(w, r)
+			return
+		}
+		forward.ServeHTTP(w, r)
+	})
+}
+
+// admin adapts a node to the administration API.
+type admin struct{ n *Node }
+
+// Status implements operator.Fleet.
+func (a *admin) Status() operator.Status {
+	n := a.n
+	n.keys.mu.Lock()
+	keys := n.keys.ledger.Len()
+	n.keys.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	head, last := n.rollout.Head()
+	return operator.Status{
+		Name:       n.cfg.Name,
+		Region:     n.cfg.Region,
+		DataCentre: n.cfg.DataCentre,
+		Version:    last.Version,
+		Digest:     head.Digest().String(),
+		InForce:    n.Bundle().Digest().String(),
+		Members:    len(n.view.Load().live),
+		Shards:     n.owners.Held(),
+		Serving:    n.servingShards(),
+		StoreUp:    !n.storeDown,
+		Stopping:   n.stop.Load(),
+		Keys:       keys,
+	}
+}
+
+// servingShards counts the shards with a valid lease; the engines are locked.
+func (n *Node) servingShards() int {
+	now, count := time.Now(), 0
+	for s := range ownership.Shards {
+		if ok, _ := n.owners.Serving(now, s); ok {
+			count++
+		}
+	}
+	return count
+}
+
+// Members implements operator.Fleet.
+func (a *admin) Members() []operator.Member {
+	a.n.mu.Lock()
+	defer a.n.mu.Unlock()
+	var out []operator.Member
+	for _, m := range a.n.members.Members() {
+		out = append(out, operator.Member{
+			Name:        m.Name,
+			Incarnation: m.Incarnation,
+			Status:      m.Status.String(),
+			Region:      m.Region,
+			DataCentre:  m.DataCentre,
+			Address:     m.Address,
+			Upstreams:   len(m.Upstreams),
+		})
+	}
+	return out
+}
+
+// Upstreams implements operator.Fleet.
+func (a *admin) Upstreams() []operator.Upstream {
+	var out []operator.Upstream
+	for name, l := range *a.n.lanes.Load() {
+		l.mu.Lock()
+		for _, u := range l.group.Upstreams() {
+			o := operator.Upstream{ID: u.ID, Service: name, Ready: u.Ready, Tier: int(u.Tier)}
+			for i, class := range l.names {
+				if l.group.Detector().Status(u.ID, i) != outlier.Serving {
+					o.Out = append(o.Out, class)
+				}
+			}
+			out = append(out, o)
+		}
+		l.mu.Unlock()
+	}
+	slices.SortFunc(out, func(x, y operator.Upstream) int {
+		return strings.Compare(x.Service+x.ID, y.Service+y.ID)
+	})
+	return out
+}
+
+// BundleState implements operator.Fleet.
+func (a *admin) BundleState() rollout.State {
+	a.n.mu.Lock()
+	defer a.n.mu.Unlock()
+	return a.n.rollout.State()
+}
+
+// Fates implements operator.Fleet.
+func (a *admin) Fates() []rollout.Fate {
+	a.n.mu.Lock()
+	defer a.n.mu.Unlock()
+	return a.n.rollout.Fates()
+}
+
+// Timeline implements operator.Fleet.
+func (a *admin) Timeline(f event.Filter) []event.Event {
+	var mu sync.Mutex
+	lists := [][]event.Event{a.n.Events(f)}
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, timelineCalls)
+	for _, m := range a.n.view.Load().live {
+		if m.Name == a.n.cfg.Name || f.Node != "" && f.Node != m.Name {
+			continue
+		}
+		wg.Add(1)
+		slots <- struct{}{}
+		go func() {
+			defer wg.Done()
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(context.Background(), timelineWait)
+			defer cancel()
+			list, err := a.n.client.Events(ctx, m.Address, f)
+			if err != nil {
+				return // a node that does not answer has no part in the time line
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			lists = append(lists, list)
+		}()
+	}
+	wg.Wait()
+	return event.Merge(lists...)
+}
+
+// Submit implements operator.Fleet.
+func (a *admin) Submit(rec rollout.Record) error {
+	n := a.n
+	id := string(rec.Kind) + "-" + rec.ID
+	if rec.Signature != nil {
+		id += "-" + rec.Signature.Signer
+	}
+	entry, err := platform.Encode(id, rec)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), submitWait)
+	defer cancel()
+	for try := 0; ; try++ {
+		off, err := n.store.Append(ctx, rollout.Stream, entry)
+		if err == nil {
+			return n.readBack(ctx, off)
+		}
+		var unknown *platform.UnknownError
+		if !errors.As(err, &unknown) || try >= submitTries {
+			return err
+		}
+		// The engine takes a record with the same id once, so the append may be repeated.
+	}
+}
+
+// readBack waits until the node has taken the record at the offset.
+func (n *Node) readBack(ctx context.Context, off platform.Offset) error {
+	for {
+		n.mu.Lock()
+		next := n.mirrors[rollout.Stream].Next()
+		n.mu.Unlock()
+		if next > off {
+			return nil
+		}
+		if _, err := n.read(ctx, rollout.Stream, 0); err != nil && ctx.Err() != nil {
+			return operator.ErrNotRead
+		}
+	}
+}
--- /dev/null
+++ b/node/keys.go
@@ -0,0 +1,471 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/caller"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/idempotency"
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/ownership"
+	"github.com/jasminevane/jasminevane/peer"
+	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/pkg/errors"
+)
+
+// Parameters of requests with an idempotency key.
+const (
+	defaultRetention = 10 * time.Minute
+	ownerWait        = 40 * time.Millisecond // time before the owner of a key is looked up again
+	keptAnswer       = 16 << 10              // bytes of an answer that are kept for a repeat
+	ownerTimeout     = 700 * time.Millisecond
+	handoverTimeout  = 2 * time.Second
+)
+
+// keyStore holds the ledger of the shards that this node owns.
+type keyStore struct {
+	mu      sync.Mutex
+	ledger  *idempotency.Ledger
+	waiters map[string]chan struct{} // closed when a pending key ends
+	claims  uint64
+}
+
+func (k *keyStore) setRetention(d time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ledger.SetRetention(d)
+}
+
+func (k *keyStore) pending() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.waiters)
+}
+
+// serveKeyed passes a request to the owner of its key, again where that is safe.
+func (n *Node) serveKeyed(ctx context.Context, j *job, r *caller.Request) (*upstream.Answer, error) {
+	k := &peer.KeyedRequest{
+		Key:     r.Caller + "/" + j.match.Service.Name() + "/" + r.Key,
+		Caller:  r.Caller,
+		Fresh:   r.Fresh,
+		Attempt: (&race{job: j}).attempt(0),
+	}
+	sent := false
+	for {
+		ans, err := n.tryOwners(ctx, j, k, &sent)
+		if !errors.Is(err, errNoOwner) {
+			return ans, err
+		}
+		if ctx.Err() != nil || time.Until(j.deadline) < ownerWait {
+			return nil, noOwner(k, sent)
+		}
+		n.sleep(ctx, ownerWait)
+	}
+}
+
+// errNoOwner says that no node answered as the owner of a key.
+var errNoOwner = errors.New("no owner answered")
+
+// noOwner is what a caller is told when the owner of its key was not found in time.
+func noOwner(k *peer.KeyedRequest, sent bool) error {
+	o := outcome.Unknown
+	if !sent && k.Fresh {
+		o = outcome.NotRun
+	}
+	e := outcome.NewError(o, outcome.CodeKeyOwner, errNoOwner)
+	e.Retry = retryAfter
+	return e
+}
+
+// tryOwners asks the nodes that may own the key in turn.
+func (n *Node) tryOwners(ctx context.Context, j *job, k *peer.KeyedRequest, sent *bool) (*upstream.Answer, error) {
+	n.mu.Lock()
+	owners := n.owners.Owner(ownership.Shard(k.Key))
+	n.mu.Unlock()
+	for _, name := range owners {
+		if !j.body.Available() {
+			break
+		}
+		k.Attempt.Body = j.body.Open()
+		ans, err := n.askOwner(ctx, name, k)
+		var path *peer.PathError
+		var e *outcome.Error
+		switch {
+		case errors.As(err, &path):
+			*sent = *sent || path.Sent()
+			k.Fresh = k.Fresh && !path.Sent()
+		case errors.As(err, &e) && e.Code == outcome.CodeKeyOwner:
+		case errors.As(err, &e) && e.Code == outcome.CodeCanceled:
+			return nil, outcome.NewError(outcome.Unknown, e.Code, e.Err)
+		default:
+			return ans, err
+		}
+	}
+	return nil, errNoOwner
+}
+
+func (n *Node) askOwner(ctx context.Context, name string, k *peer.KeyedRequest) (*upstream.Answer, error) {
+	if name == n.cfg.Name {
+		return n.Keyed(ctx, k)
+	}
+	m, ok := n.view.Load().byName[name]
+	if !ok || m.Status == membership.Dead || m.Status == membership.Left {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeKeyOwner, nil)
+	}
+	return n.client.ForwardKey(ctx, m.Address, k)
+}
+
+// Keyed implements peer.Receiver: it runs a request whose key this node owns.
+func (n *Node) Keyed(ctx context.Context, k *peer.KeyedRequest) (*upstream.Answer, error) {
+	match, ok := n.Bundle().Route(k.Host, k.Method, pathOf(k.URI))
+	if !ok {
+		return nil, outcome.NewError(outcome.Unknown, outcome.CodeNoRoute, nil)
+	}
+	body, err := caller.ReadBody(k.Body, k.Length)
+	if err != nil {
+		return nil, err
+	}
+	req := idempotency.Request{Shard: ownership.Shard(k.Key), Key: k.Key, Fingerprint: fingerprint(k, body), Fresh: k.Fresh}
+	for {
+		verdict, kept, wait := n.begin(&req)
+		if verdict == idempotency.Wait {
+			select {
+			case <-wait:
+				continue
+			case <-ctx.Done():
+			case <-time.After(time.Until(k.Deadline)):
+			}
+			return nil, outcome.NewError(outcome.Unknown, outcome.CodeTimeout, errors.New("an earlier request with the key is running"))
+		}
+		if verdict != idempotency.Run {
+			return verdictAnswer(verdict, kept)
+		}
+		j := &job{
+			id: k.ID, match: match, deadline: k.Deadline, method: k.Method,
+			uri: k.URI, host: k.Host, header: k.Header, body: body,
+		}
+		return n.runKeyed(ctx, j, k.Key)
+	}
+}
+
+func pathOf(uri string) string {
+	for i := range len(uri) {
+		if uri[i] == '?' {
+			return uri[:i]
+		}
+	}
+	return uri
+}
+
+func fingerprint(k *peer.KeyedRequest, body *caller.Body) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(k.Method + " " + k.URI + " " + strconv.FormatInt(body.Len(), 10) + "\n")
+	_, _ = d.Write(body.Prefix())
+	return d.Sum64()
+}
+
+// begin asks the ledger about a request while the lease of its shard holds.
+func (n *Node) begin(req *idempotency.Request) (idempotency.Verdict, idempotency.Answer, chan struct{}) {
+	n.keys.mu.Lock()
+	defer n.keys.mu.Unlock()
+	now := time.Now()
+	n.mu.Lock()
+	ok, gap := n.owners.Serving(now, req.Shard)
+	n.mu.Unlock()
+	if !ok {
+		return notOwner, nil, nil
+	}
+	req.Gap = gap
+	verdict, kept := n.keys.ledger.Begin(now, *req)
+	switch verdict {
+	case idempotency.Run:
+		n.keys.waiters[req.Key] = make(chan struct{})
+	case idempotency.Wait:
+		return verdict, nil, n.keys.waiters[req.Key]
+	}
+	return verdict, kept, nil
+}
+
+// notOwner extends the ledger's verdicts by that of a node without a valid lease.
+const notOwner = idempotency.Verdict(-1)
+
+func verdictAnswer(v idempotency.Verdict, kept idempotency.Answer) (*upstream.Answer, error) {
+	switch v {
+	case notOwner:
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeKeyOwner, nil)
+	case idempotency.Replay:
+		return replay(kept)
+	case idempotency.Reused:
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeKeyReused, errors.New("the key belongs to a different request"))
+	case idempotency.Full:
+		e := outcome.NewError(outcome.NotRun, outcome.CodeOverload, errors.New("no further key can be remembered"))
+		e.Retry = retryAfter
+		return nil, e
+	case idempotency.Forgot:
+		return nil, outcome.NewError(outcome.Ran, outcome.CodeKeyLost, errors.New("the request ran, its answer is no longer kept"))
+	}
+	return nil, outcome.NewError(outcome.Unknown, outcome.CodeKeyMemory, errors.New("an earlier request with the key may have run"))
+}
+
+// runKeyed runs the first request of a key to its end, even if its caller goes away.
+func (n *Node) runKeyed(ctx context.Context, j *job, key string) (*upstream.Answer, error) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
+	ans, err := n.run(ctx, j)
+	var e *outcome.Error
+	switch {
+	case err == nil && ans.Body == nil:
+		cancel()
+		n.endKey(key, func(l *idempotency.Ledger) { l.Finish(key, encodeAnswer(ans)) })
+		return ans, nil
+	case err == nil:
+		return n.keepStream(ans, key, cancel)
+	case errors.As(err, &e) && e.Outcome == outcome.NotRun:
+		n.endKey(key, func(l *idempotency.Ledger) { l.Cancel(key) })
+	default:
+		n.endKey(key, func(l *idempotency.Ledger) { l.Fail(key) })
+	}
+	cancel()
+	return nil, err
+}
+
+// keepStream reads an answer that arrives as a stream; a small one is kept for repeats, a larger one is passed on.
+func (n *Node) keepStream(ans *upstream.Answer, key string, cancel context.CancelFunc) (*upstream.Answer, error) {
+	var buf bytes.Buffer
+	_, err := io.CopyN(&buf, ans.Body, keptAnswer)
+	if errors.Is(err, io.EOF) {
+		_ = ans.Body.Close()
+		cancel()
+		ans.SetContent(buf.Bytes())
+		n.endKey(key, func(l *idempotency.Ledger) { l.Finish(key, encodeAnswer(ans)) })
+		return ans, nil
+	}
+	if err != nil {
+		_ = ans.Body.Close()
+		cancel()
+		n.endKey(key, func(l *idempotency.Ledger) { l.Fail(key) })
+		return nil, outcome.NewError(outcome.Unknown, outcome.CodeTruncated, err)
+	}
+	n.endKey(key, func(l *idempotency.Ledger) { l.Finish(key, nil) })
+	rest := ans.Body
+	ans.Body = &cancelBody{ReadCloser: joined{io.MultiReader(&buf, rest), rest}, cancel: cancel}
+	return ans, nil
+}
+
+type joined struct {
+	io.Reader
+	io.Closer
+}
+
+func (n *Node) endKey(key string, end func(*idempotency.Ledger)) {
+	n.keys.mu.Lock()
+	defer n.keys.mu.Unlock()
+	end(n.keys.ledger)
+	if ch := n.keys.waiters[key]; ch != nil {
+		close(ch)
+		delete(n.keys.waiters, key)
+	}
+}
+
+// keptForm is the form in which an answer is kept.
+type keptForm struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
+
+func encodeAnswer(ans *upstream.Answer) idempotency.Answer {
+	data, _ := ans.Content()
+	if len(data) > keptAnswer {
+		return nil
+	}
+	out, err := json.Marshal(keptForm{Status: ans.Status, Header: ans.Header, Body: data})
+	if err != nil {
+		return nil
+	}
+	return out
+}
+
+// replayHeader tells a caller that the answer is that of an earlier request with the key.
+const replayHeader = "Idempotent-Replayed"
+
+func replay(kept idempotency.Answer) (*upstream.Answer, error) {
+	var k keptForm
+	if err := json.Unmarshal(kept, &k); err != nil {
+		return nil, outcome.NewError(outcome.Ran, outcome.CodeKeyLost, err)
+	}
+	ans := &upstream.Answer{Status: k.Status, Header: k.Header}
+	if ans.Header == nil {
+		ans.Header = make(http.Header)
+	}
+	ans.Header.Set(replayHeader, "true")
+	ans.SetContent(k.Body)
+	return ans, nil
+}
+
+// carryOutOwners sends what the ownership engine asks for.
+func (n *Node) carryOutOwners(out ownership.Output) {
+	for _, s := range out.Lost {
+		n.keys.mu.Lock()
+		n.keys.ledger.Drop(s)
+		n.keys.mu.Unlock()
+	}
+	if len(out.Won)+len(out.Lost) > 0 {
+		n.mu.Lock()
+		held := n.owners.Held()
+		n.mu.Unlock()
+		n.events.Add(event.Event{Kind: event.Owner, Text: strconv.Itoa(len(out.Won)) + " shards won, " + strconv.Itoa(len(out.Lost)) + " lost, " + strconv.Itoa(held) + " held"})
+		n.metrics.shards.Set(float64(held))
+	}
+	for _, v := range out.Vouches {
+		n.spawn(func() { n.vouch(v) })
+	}
+	for _, f := range out.Fences {
+		n.events.Add(event.Event{Kind: event.Fence, Text: strconv.Itoa(len(f.Leases)) + " shards at " + f.To.Name})
+		n.spawn(func() { n.fence(f) })
+	}
+	for _, h := range out.Handovers {
+		n.spawn(func() { n.handover(h) })
+	}
+	for _, c := range out.Claims {
+		n.spawn(func() { n.claim(c) })
+	}
+}
+
+func (n *Node) address(name string) string { return n.view.Load().byName[name].Address }
+
+func (n *Node) vouch(v ownership.Vouch) {
+	inc, refused, err := n.askVouch(v)
+	if err != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.owners.Vouched(v, inc, refused)
+}
+
+func (n *Node) askVouch(v ownership.Vouch) (uint64, []int, error) {
+	if v.To.Name == n.cfg.Name {
+		inc, refused := n.Vouch(v.Leases)
+		return inc, refused, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	return n.client.Vouch(ctx, n.address(v.To.Name), v.Leases)
+}
+
+// Vouch implements peer.Node.
+func (n *Node) Vouch(list []ownership.Lease) (uint64, []int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Self().Incarnation, n.owners.Vouch(list)
+}
+
+func (n *Node) fence(f ownership.Fence) {
+	ans, err := n.askFence(f)
+	if err != nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.owners.Fenced(time.Now(), f, ans.Incarnation, ans.Promised, ans.Moved)
+}
+
+func (n *Node) askFence(f ownership.Fence) (peer.FenceAnswer, error) {
+	if f.To.Name == n.cfg.Name {
+		inc, promised, moved := n.Fence(f.Leases)
+		return peer.FenceAnswer{Incarnation: inc, Promised: promised, Moved: moved}, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
+	defer cancel()
+	return n.client.Fence(ctx, n.address(f.To.Name), f.Leases)
+}
+
+// Fence implements peer.Node.
+func (n *Node) Fence(list []ownership.Lease) (uint64, []int, []ownership.Lease) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	promised, moved := n.owners.Fence(list)
+	return n.members.Self().Incarnation, promised, moved
+}
+
+// handover sends shards with the records of their keys to the new owner.
+func (n *Node) handover(h ownership.Handover) {
+	var list []peer.Parcel
+	n.keys.mu.Lock()
+	for _, d := range h.Shards {
+		list = append(list, peer.Parcel{Deed: d, Records: n.keys.ledger.Export(d.Shard)})
+	}
+	n.keys.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	inc, ok, err := n.client.Handover(ctx, n.address(h.To.Name), list)
+	if err != nil || inc != h.To.Incarnation {
+		return
+	}
+	n.mu.Lock()
+	n.owners.Moved(h, ok)
+	own := n.owners.Take()
+	n.mu.Unlock()
+	n.carryOutOwners(own)
+}
+
+// Handover implements peer.Node.
+func (n *Node) Handover(list []peer.Parcel) (uint64, bool) {
+	n.keys.mu.Lock()
+	n.mu.Lock()
+	inc := n.members.Self().Incarnation
+	var deeds []ownership.Deed
+	for _, p := range list {
+		deeds = append(deeds, p.Deed)
+	}
+	ok := n.owners.Receive(deeds)
+	own := n.owners.Take()
+	for _, p := range list {
+		if ok {
+			n.keys.ledger.Import(p.Deed.Shard, p.Records)
+		}
+	}
+	n.mu.Unlock()
+	n.keys.mu.Unlock()
+	n.carryOutOwners(own)
+	return inc, ok
+}
+
+// claim appends a claim; the log tells whether it won.
+func (n *Node) claim(c ownership.Claim) {
+	n.keys.mu.Lock()
+	n.keys.claims++
+	id := c.Node.Name + "-" + strconv.FormatUint(c.Node.Incarnation, 36) + "-" + strconv.FormatUint(n.keys.claims, 10)
+	n.keys.mu.Unlock()
+	rec, err := platform.Encode(id, c)
+	if err != nil {
+		_ = level.Error(n.logger).Log("msg", "claim", "err", err)
+		return
+	}
+	_, err = n.store.Append(context.Background(), ownership.Stream, rec)
+	var unknown *platform.UnknownError
+	if err != nil && !errors.As(err, &unknown) {
+		return // the engine claims again
+	}
+	n.readOwners()
+}
+
+// readOwners reads the stream of owners at once after a claim.
+func (n *Node) readOwners() {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	_, err := n.read(ctx, ownership.Stream, 0)
+	n.noteStore(err)
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/pkg/errors"
+)
+
+// Timing of the node's loops.
+const (
+	tickEvery     = 50 * time.Millisecond
+	evaluateEvery = 100 * time.Millisecond
+	sweepEvery    = 200 * time.Millisecond
+	adminTimeout  = 30 * time.Second // time to write an answer of the admin port
+	idleTimeout   = 2 * time.Minute
+	handoverWait  = 3 * time.Second // time to hand over the shards at a stop
+	pollEvery     = 10 * time.Millisecond
+)
+
+func (n *Node) server(h http.Handler, streaming bool) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: n.cfg.Limits.HeaderTimeout.Std(),
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(n.cfg.Limits.Header),
+		Protocols:         new(http.Protocols),
+		ErrorLog:          nil,
+	}
+	s.Protocols.SetHTTP1(true)
+	s.Protocols.SetUnencryptedHTTP2(true)
+	if !streaming {
+		s.ReadTimeout = adminTimeout
+		s.WriteTimeout = adminTimeout
+	}
+	s.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreams}
+	return s
+}
+
+// maxStreams bounds the requests on one connection between nodes.
+const maxStreams = 1000
+
+// Run serves until ctx ends and then stops gracefully: no request is cut within the drain time.
+func (n *Node) Run(ctx context.Context) error {
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	n.cancel = cancel
+	s := n.newServers()
+	failed := make(chan error, 4)
+	serve := func(srv *http.Server, ln net.Listener) {
+		n.running.Add(1)
+		go func() {
+			defer n.running.Done()
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		}()
+	}
+	serve(s.peer, n.lns.peer)
+	serve(s.upstream, n.lns.upstream)
+	serve(s.admin, n.lns.admin)
+	serve(s.caller, n.lns.caller)
+	n.startLoops(base)
+	n.events.Add(event.Event{Kind: event.Start, Text: n.cfg.DataCentre})
+	_ = level.Info(n.logger).Log("msg", "started", "caller", n.lns.caller.Addr(), "peer", n.lns.peer.Addr())
+	var err error
+	select {
+	case <-ctx.Done():
+		n.drain(s)
+	case err = <-failed:
+	}
+	cancel()
+	for _, srv := range []*http.Server{s.caller, s.peer, s.upstream, s.admin} {
+		_ = srv.Close()
+	}
+	n.stopGates()
+	n.running.Wait()
+	n.client.Close()
+	return errors.Wrap(err, "serve")
+}
+
+func (n *Node) startLoops(ctx context.Context) {
+	n.loop(ctx, tickEvery, n.tick)
+	n.loop(ctx, evaluateEvery, n.evaluate)
+	n.loop(ctx, sweepEvery, n.sweepGates)
+	for stream := range n.mirrors {
+		n.spawn(func() { n.tail(ctx, stream) })
+	}
+}
+
+// loop calls f at every interval, and at once when the node is kicked, until ctx ends.
+func (n *Node) loop(ctx context.Context, every time.Duration, f func(context.Context, time.Time)) {
+	n.spawn(func() {
+		t := time.NewTicker(every)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			f(ctx, time.Now())
+		}
+	})
+}
+
+func (n *Node) spawn(f func()) {
+	n.running.Add(1)
+	go func() {
+		defer n.running.Done()
+		f()
+	}()
+}
+
+// drain ends the node's service: it announces, takes no new work after a while, finishes what it has and hands over its shards.
+func (n *Node) drain(s servers) {
+	_ = level.Info(n.logger).Log("msg", "stopping")
+	n.events.Add(event.Event{Kind: event.Stop})
+	n.stop.Store(true)
+	n.gates.drain()
+	n.mu.Lock()
+	now := time.Now()
+	n.members.SetStatus(now, membership.Leaving)
+	n.members.SetUpstreams(now, n.gates.list())
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Limits.Drain.Std())
+	defer cancel()
+	time.Sleep(n.cfg.Limits.Lame.Std())
+	_ = s.caller.Shutdown(ctx)
+	n.leaveShards(ctx)
+	n.await(ctx, func() bool { return n.gates.running() == 0 })
+	n.mu.Lock()
+	n.members.SetStatus(time.Now(), membership.Left)
+	n.mu.Unlock()
+	n.tick(ctx, time.Now())
+	_ = s.upstream.Shutdown(ctx)
+	_ = s.peer.Shutdown(ctx)
+	time.Sleep(2 * tickEvery) // the last heartbeats leave
+}
+
+// leaveShards hands the shards over while the node still answers for its requests.
+func (n *Node) leaveShards(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handoverWait)
+	defer cancel()
+	n.await(ctx, func() bool { return n.keys.pending() == 0 })
+	n.mu.Lock()
+	n.owners.Leave()
+	n.mu.Unlock()
+	n.await(ctx, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.owners.Held() == 0
+	})
+}
+
+func (n *Node) await(ctx context.Context, done func() bool) {
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// countCallers asks callers to reconnect elsewhere while the node stops.
+func (n *Node) countCallers(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.active.Add(1)
+		defer n.active.Add(-1)
+		if n.stop.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/node/serve.go
@@ -0,0 +1,419 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jasminevane/jasminevane/bundle"
+	"github.com/jasminevane/jasminevane/caller"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/peer"
+	"github.com/jasminevane/jasminevane/routing"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/pkg/errors"
+)
+
+// Parameters of attempts.
+const (
+	maxAttempts  = 4                      // attempts of one request, refused ones included
+	hedgeRatio   = 8                      // ratio to the group's mean after which a second attempt starts
+	hedgeMin     = 60 * time.Millisecond  // least time before a second attempt starts
+	askAfter     = 500 * time.Millisecond // time after which the node of a silent upstream is asked for its state
+	askRatio     = 10                     // ratio to the group's mean after which it is asked
+	askTimeout   = 400 * time.Millisecond
+	pathPatience = 450 * time.Millisecond // silence after which the path is doubted
+	retryAfter   = time.Second            // told to callers on overload
+)
+
+// job is a request to be run at one of the upstreams of a service.
+type job struct {
+	id       string
+	match    bundle.Match
+	deadline time.Time
+	method   string
+	uri      string
+	host     string
+	header   http.Header
+	body     *caller.Body
+}
+
+func (j *job) once() bool { return !j.match.Class.Idempotent() }
+
+// Serve implements caller.Fleet.
+func (n *Node) Serve(ctx context.Context, r *caller.Request) (*upstream.Answer, error) {
+	j := &job{
+		id:       r.ID,
+		match:    r.Match,
+		deadline: r.Deadline,
+		method:   r.HTTP.Method,
+		uri:      r.HTTP.URL.RequestURI(),
+		host:     r.HTTP.Host,
+		header:   caller.CleanHeader(r.HTTP.Header),
+		body:     r.Body,
+	}
+	if j.once() && r.Key != "" {
+		return n.serveKeyed(ctx, j, r)
+	}
+	return n.run(ctx, j)
+}
+
+// try is one attempt that ended.
+type try struct {
+	choice routing.Choice
+	ans    *upstream.Answer
+	err    error
+	cancel context.CancelFunc
+}
+
+// race runs the attempts of one job: one after the other where they fail without effect, side by side where one hangs and the work is idempotent.
+type race struct {
+	n        *Node
+	job      *job
+	lane     *lane
+	class    int
+	tried    []string
+	pending  int
+	results  chan try
+	cancels  []context.CancelFunc
+	doubtful bool // an attempt may have run
+}
+
+// run sends the job to an upstream; the error is an *outcome.Error.
+func (n *Node) run(ctx context.Context, j *job) (*upstream.Answer, error) {
+	l := (*n.lanes.Load())[j.match.Service.Name()]
+	if l == nil {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, nil)
+	}
+	class, ok := l.index[j.match.Class.Name()]
+	if !ok {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, nil)
+	}
+	l.mu.Lock()
+	l.budget.Request()
+	l.mu.Unlock()
+	r := &race{n: n, job: j, lane: l, class: class, results: make(chan try, maxAttempts)}
+	return r.run(ctx)
+}
+
+func (r *race) run(ctx context.Context) (*upstream.Answer, error) {
+	if err := r.launch(ctx); err != nil {
+		return nil, err
+	}
+	hedge := time.NewTimer(r.hedgeDelay())
+	defer hedge.Stop()
+	for {
+		select {
+		case t := <-r.results:
+			r.pending--
+			if r.final(t) {
+				return r.finish(t)
+			}
+			if r.again(t) && r.launch(ctx) == nil {
+				continue
+			}
+			if r.pending == 0 {
+				return r.finish(t)
+			}
+		case <-hedge.C:
+			if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.take() {
+				_ = r.launch(ctx) // the first attempt goes on alone
+			}
+		}
+	}
+}
+
+func (r *race) hedgeDelay() time.Duration {
+	r.lane.mu.Lock()
+	defer r.lane.mu.Unlock()
+	mean := r.lane.group.Mean(time.Now(), r.class)
+	if mean == 0 {
+		return time.Until(r.job.deadline) / 2
+	}
+	return max(hedgeMin, hedgeRatio*mean)
+}
+
+// take asks the retry budget for one more attempt.
+func (r *race) take() bool {
+	r.lane.mu.Lock()
+	defer r.lane.mu.Unlock()
+	return r.lane.budget.Take()
+}
+
+// launch starts one attempt at an upstream that was not tried.
+func (r *race) launch(ctx context.Context) error {
+	now := time.Now()
+	if !now.Before(r.job.deadline) {
+		return outcome.NewError(outcome.NotRun, outcome.CodeExpired, nil)
+	}
+	q := routing.Query{
+		Class:      r.class,
+		Exclude:    r.tried,
+		Far:        r.job.match.Class.Spill() && r.n.linkOpen(),
+		Idempotent: !r.job.once(),
+	}
+	r.lane.mu.Lock()
+	choice, err := r.lane.group.Pick(now, q, r.lane.rnd)
+	r.lane.mu.Unlock()
+	if err != nil {
+		return noUpstream(err)
+	}
+	r.tried = append(r.tried, choice.ID)
+	r.pending++
+	actx, cancel := context.WithCancel(ctx)
+	r.cancels = append(r.cancels, cancel)
+	a := r.attempt(len(r.tried))
+	go func() {
+		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
+		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel}
+	}()
+	return nil
+}
+
+func noUpstream(err error) error {
+	e := outcome.NewError(outcome.NotRun, outcome.CodeNoUpstream, err)
+	var none *routing.Error
+	if errors.As(err, &none) && none.Reason() == routing.Busy {
+		e.Code, e.Retry = outcome.CodeOverload, retryAfter
+	}
+	return e
+}
+
+func (r *race) attempt(number int) *upstream.Attempt {
+	j := r.job
+	return &upstream.Attempt{
+		ID:       fmt.Sprintf("%s.%d", j.id, number),
+		Class:    j.match.Class.Name(),
+		Deadline: j.deadline,
+		Method:   j.method,
+		URI:      j.uri,
+		Host:     j.host,
+		Header:   j.header.Clone(),
+		Body:     j.body.Open(),
+		Length:   j.body.Len(),
+		Once:     j.once(),
+	}
+}
+
+// final reports whether the attempt decides the request.
+func (r *race) final(t try) bool {
+	return t.err == nil && (t.ans.Status < http.StatusInternalServerError || r.job.once())
+}
+
+// again reports whether the result of an attempt allows another one.
+func (r *race) again(t try) bool {
+	r.doubtful = r.doubtful || t.err == nil || mayHaveRun(t.err)
+	if len(r.tried) >= maxAttempts || !r.job.body.Available() {
+		return false
+	}
+	if free(t.err) {
+		return true
+	}
+	if notRun(t.err) || !r.job.once() {
+		return r.take()
+	}
+	return false
+}
+
+// free reports whether the attempt certainly did not reach the upstream, so that another costs no upstream anything.
+func free(err error) bool {
+	var path *peer.PathError
+	if errors.As(err, &path) {
+		return !path.Sent()
+	}
+	var e *outcome.Error
+	return errors.As(err, &e) && e.Outcome == outcome.NotRun &&
+		(e.Code == outcome.CodeOverload || e.Code == outcome.CodeDraining || e.Code == outcome.CodeNoBundle)
+}
+
+func mayHaveRun(err error) bool {
+	var path *peer.PathError
+	if errors.As(err, &path) {
+		return path.Sent()
+	}
+	return !notRun(err)
+}
+
+func notRun(err error) bool {
+	var e *outcome.Error
+	return errors.As(err, &e) && e.Outcome == outcome.NotRun
+}
+
+// finish ends the race with the result of one attempt and cancels the others.
+func (r *race) finish(t try) (*upstream.Answer, error) {
+	left := r.pending
+	go func() {
+		for range left {
+			late := <-r.results
+			if late.ans != nil && late.err == nil {
+				_ = late.ans.Reader().Close()
+			}
+		}
+	}()
+	winner := len(r.cancels)
+	if t.err == nil {
+		winner = r.number(t.choice)
+	}
+	for i, cancel := range r.cancels {
+		if i != winner {
+			cancel()
+		}
+	}
+	if t.err != nil {
+		return nil, r.verdict(t.err)
+	}
+	if t.ans.Body != nil {
+		t.ans.Body = &cancelBody{ReadCloser: t.ans.Body, cancel: t.cancel}
+		return t.ans, nil
+	}
+	t.cancel()
+	return t.ans, nil
+}
+
+func (r *race) number(c routing.Choice) int {
+	for i, id := range r.tried {
+		if id == c.ID {
+			return i
+		}
+	}
+	return len(r.tried)
+}
+
+type cancelBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b *cancelBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// verdict turns the last error of a race into what the caller is told: not run only if no attempt may have run.
+func (r *race) verdict(err error) error {
+	var path *peer.PathError
+	if errors.As(err, &path) {
+		o := outcome.Unknown
+		if !path.Sent() {
+			o = outcome.NotRun
+		}
+		err = outcome.NewError(o, outcome.CodePath, path)
+	}
+	var e *outcome.Error
+	if !errors.As(err, &e) {
+		e = outcome.NewError(outcome.Unknown, outcome.CodePath, err)
+	}
+	if e.Outcome == outcome.NotRun && (r.doubtful || r.pending > 0) {
+		return outcome.NewError(outcome.Unknown, e.Code, e.Err)
+	}
+	if e.Code == outcome.CodeOverload {
+		e.Retry = retryAfter
+	}
+	return e
+}
+
+// send carries one attempt to its upstream and tells the lane what it showed.
+func (n *Node) send(ctx context.Context, l *lane, class int, c routing.Choice, a *upstream.Attempt) (*upstream.Answer, error) {
+	start := time.Now()
+	stop := n.watch(l, class, c, a.Class)
+	ans, err := n.carry(ctx, c, a)
+	stop()
+	o := observe(ans, err, time.Since(start))
+	l.mu.Lock()
+	l.group.Observe(time.Now(), c, class, o)
+	l.active = true
+	l.mu.Unlock()
+	if o.PathLost {
+		n.events.Add(event.Event{Kind: event.Avoid, Upstream: c.ID, Request: a.ID, Text: err.Error()})
+	}
+	if err == nil && c.Tier == routing.OtherRegion {
+		n.countLink(a.Length + ans.Length)
+	}
+	return ans, err
+}
+
+func (n *Node) carry(ctx context.Context, c routing.Choice, a *upstream.Attempt) (*upstream.Answer, error) {
+	id := c.ID[len(c.Node)+1:]
+	if c.Node == n.cfg.Name {
+		return n.Attempt(ctx, id, a)
+	}
+	m, ok := n.view.Load().byName[c.Node]
+	if !ok {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("node is gone"))
+	}
+	return n.client.Forward(ctx, m.Address, id, a)
+}
+
+// Attempt implements peer.Receiver.
+func (n *Node) Attempt(ctx context.Context, id string, a *upstream.Attempt) (*upstream.Answer, error) {
+	g := n.gates.get(id)
+	if g == nil {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.Errorf("upstream %s is not here", id))
+	}
+	ans, err := g.Do(ctx, a)
+	load := g.Load(a.Class).String()
+	if err != nil {
+		return &upstream.Answer{Load: load}, err
+	}
+	ans.Load = load
+	return ans, nil
+}
+
+// observe condenses what an attempt showed of the load and of the path.
+func observe(ans *upstream.Answer, err error, took time.Duration) routing.Observation {
+	var o routing.Observation
+	if ans != nil && ans.Load != "" {
+		if load, perr := upstream.ParseLoad(ans.Load); perr == nil {
+			o.Reported, o.Load, o.Evidence = true, load.Load, load.Evidence
+		}
+	}
+	var path *peer.PathError
+	if errors.As(err, &path) {
+		o.PathLost = !path.Sent() || took > pathPatience
+	}
+	return o
+}
+
+// watch asks the node of an upstream for its state when an attempt stays silent, which tells a stuck upstream from a lost path.
+func (n *Node) watch(l *lane, class int, c routing.Choice, name string) (stop func()) {
+	if c.Node == n.cfg.Name {
+		return func() {}
+	}
+	l.mu.Lock()
+	after := max(askAfter, askRatio*l.group.Mean(time.Now(), class))
+	l.mu.Unlock()
+	t := time.AfterFunc(after, func() { n.ask(l, class, c, name) })
+	return func() { t.Stop() }
+}
+
+func (n *Node) ask(l *lane, class int, c routing.Choice, name string) {
+	m, ok := n.view.Load().byName[c.Node]
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	text, err := n.client.Standing(ctx, m.Address, c.ID[len(c.Node)+1:], name)
+	load, perr := upstream.ParseLoad(text)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active = true
+	if err != nil || perr != nil {
+		l.group.Avoid(time.Now(), c.ID)
+		return
+	}
+	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Evidence, Reported: true})
+}
+
+// Standing implements peer.Node.
+func (n *Node) Standing(id, class string) (string, bool) {
+	g := n.gates.get(id)
+	if g == nil {
+		return "", false
+	}
+	return g.Load(class).String(), true
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/jasminevane/jasminevane/keyring"
+	"github.com/jasminevane/jasminevane/setting"
+)
+
+// Settings are the settings of one node as written in TOML.
+type Settings struct {
+	Name       string           `toml:"name"`
+	Region     string           `toml:"region"`
+	DataCentre string           `toml:"data_centre"`
+	Listen     listenSettings   `toml:"listen"`
+	Peers      peerSettings     `toml:"peers"`
+	Platform   platformSettings `toml:"platform"`
+	Trust      trustSettings    `toml:"trust"`
+	Admin      adminSettings    `toml:"admin"`
+	Limits     limitSettings    `toml:"limits"`
+	Log        logSettings      `toml:"log"`
+}
+
+type listenSettings struct {
+	Caller   string `toml:"caller"`
+	Peer     string `toml:"peer"`
+	Upstream string `toml:"upstream"`
+	Admin    string `toml:"admin"`
+}
+
+type peerSettings struct {
+	Seeds []string `toml:"seeds"`
+}
+
+type platformSettings struct {
+	Log     string           `toml:"log"`
+	Timeout setting.Duration `toml:"timeout"`
+}
+
+type trustSettings struct {
+	Keys []string `toml:"keys"`
+}
+
+type adminSettings struct {
+	Token string `toml:"token"`
+	Pprof bool   `toml:"pprof"`
+}
+
+type limitSettings struct {
+	Header        setting.Size     `toml:"header"`
+	Body          setting.Size     `toml:"body"`
+	Keys          int              `toml:"keys"`
+	Answers       setting.Size     `toml:"answers"`
+	Events        int              `toml:"events"`
+	Drain         setting.Duration `toml:"drain"`
+	Lame          setting.Duration `toml:"lame"`
+	HeaderTimeout setting.Duration `toml:"header_timeout"`
+}
+
+type logSettings struct {
+	Format string `toml:"format"`
+	Level  string `toml:"level"`
+}
+
+// Defaults of the settings.
+const (
+	defaultLogTimeout    = time.Second
+	defaultHeader        = 32 << 10 // bytes
+	defaultBody          = 16 << 20 // bytes
+	defaultKeys          = 100_000
+	defaultAnswers       = 16 << 20 // bytes
+	defaultEvents        = 4096
+	defaultDrain         = 20 * time.Second
+	defaultLame          = time.Second
+	defaultHeaderTimeout = 5 * time.Second
+)
+
+// DefaultSettings returns settings in which only names, addresses and keys are missing.
+func DefaultSettings() Settings {
+	return Settings{
+		Platform: platformSettings{Timeout: setting.Duration(defaultLogTimeout)},
+		Limits: limitSettings{
+			Header:        defaultHeader,
+			Body:          defaultBody,
+			Keys:          defaultKeys,
+			Answers:       defaultAnswers,
+			Events:        defaultEvents,
+			Drain:         setting.Duration(defaultDrain),
+			Lame:          setting.Duration(defaultLame),
+			HeaderTimeout: setting.Duration(defaultHeaderTimeout),
+		},
+		Log: logSettings{Format: "logfmt", Level: "info"},
+	}
+}
+
+// LoadSettings reads and checks the settings in file; the error is a *setting.Error for faults of content.
+func LoadSettings(file string) (Settings, error) {
+	s := DefaultSettings()
+	err := setting.Load(file, &s)
+	return s, err
+}
+
+// Check implements setting.Checker.
+func (s *Settings) Check() []setting.Problem {
+	var out []setting.Problem
+	required := []struct{ key, value string }{
+		{"name", s.Name}, {"region", s.Region}, {"data_centre", s.DataCentre}, {"platform.log", s.Platform.Log},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			out = append(out, setting.NewProblem(r.key, "is not set"))
+		}
+	}
+	out = append(out, s.checkAddresses()...)
+	for _, k := range s.Trust.Keys {
+		if _, err := keyring.ParsePublic(k); err != nil {
+			out = append(out, setting.NewProblem("trust.keys", "%v", err))
+		}
+	}
+	if len(s.Trust.Keys) == 0 {
+		out = append(out, setting.NewProblem("trust.keys", "is empty, so that no bundle could be signed off"))
+	}
+	if s.Limits.Keys < 1 {
+		out = append(out, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
+	}
+	if s.Limits.Events < 0 {
+		out = append(out, setting.NewProblem("limits.events", "is %d, want at least 0", s.Limits.Events))
+	}
+	return append(out, s.checkLog()...)
+}
+
+func (s *Settings) checkAddresses() []setting.Problem {
+	var out []setting.Problem
+	seen := make(map[string]string)
+	for _, a := range []struct{ key, value string }{
+		{"listen.caller", s.Listen.Caller}, {"listen.peer", s.Listen.Peer},
+		{"listen.upstream", s.Listen.Upstream}, {"listen.admin", s.Listen.Admin},
+	} {
+		addr, err := netip.ParseAddrPort(a.value)
+		switch {
+		case err != nil:
+			out = append(out, setting.NewProblem(a.key, "%q is not an IP address with a port", a.value))
+		case addr.Port() != 0 && seen[a.value] != "":
+			out = append(out, setting.NewProblem(a.key, "is the same as %s", seen[a.value]))
+		}
+		seen[a.value] = a.key
+	}
+	for _, a := range s.Peers.Seeds {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			out = append(out, setting.NewProblem("peers.seeds", "%q is not an IP address with a port", a))
+		}
+	}
+	return out
+}
+
+func (s *Settings) checkLog() []setting.Problem {
+	var out []setting.Problem
+	if s.Log.Format != "logfmt" && s.Log.Format != "json" {
+		out = append(out, setting.NewProblem("log.format", `is %q, want "logfmt" or "json"`, s.Log.Format))
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		out = append(out, setting.NewProblem("log.level", `is %q, want "debug", "info", "warn" or "error"`, s.Log.Level))
+	}
+	return out
+}
+
+// keys returns the trusted keys of checked settings.
+func (s *Settings) keys() *keyring.Ring {
+	var list []keyring.Public
+	for _, text := range s.Trust.Keys {
+		if k, err := keyring.ParsePublic(text); err == nil {
+			list = append(list, k)
+		}
+	}
+	return keyring.NewRing(list...)
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,70 @@
+package outcome
+
+import (
+	"fmt"
+	"time"
+)
+
+// Outcome says whether a request was run.
+type Outcome string
+
+// The outcomes: NotRun is claimed only on proof, Ran comes with the whole answer.
+const (
+	Ran     Outcome = "ran"
+	NotRun  Outcome = "not-run"
+	Unknown Outcome = "unknown"
+)
+
+// Header is the name of the answer header that carries the outcome.
+const Header = "Outcome"
+
+// Code is the stable machine-readable reason of an error answer.
+type Code string
+
+// The codes of error answers.
+const (
+	CodeNoRoute    Code = "no-route"
+	CodeNoBundle   Code = "no-bundle"
+	CodeBadRequest Code = "bad-request"
+	CodeTooLarge   Code = "too-large"
+	CodeLimit      Code = "caller-limit"
+	CodeOverload   Code = "overload"
+	CodeExpired    Code = "expired"
+	CodeDraining   Code = "draining"
+	CodeNoUpstream Code = "no-upstream"
+	CodeShed       Code = "shed"
+	CodeUpstream   Code = "upstream-failed"
+	CodeTimeout    Code = "timeout"
+	CodeTruncated  Code = "truncated"
+	CodeCrossed    Code = "crossed"
+	CodePath       Code = "path-lost"
+	CodeKeyReused  Code = "key-reused"
+	CodeKeyOwner   Code = "key-owner"
+	CodeKeyMemory  Code = "key-memory"
+	CodeKeyLost    Code = "key-lost"
+	CodeCanceled   Code = "canceled"
+)
+
+// Error is a request that ended without an answer from an upstream.
+type Error struct {
+	Outcome Outcome
+	Code    Code
+	Retry   time.Duration // time after which a repeat may succeed, or 0
+	Err     error
+}
+
+// NewError returns an error with the outcome, the code and the cause.
+func NewError(o Outcome, code Code, err error) *Error {
+	return &Error{Outcome: o, Code: code, Err: err}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", e.Outcome, e.Code)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Outcome, e.Code, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/ownership/engine.go
@@ -0,0 +1,467 @@
+package ownership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/jasminevane/jasminevane/platform"
+)
+
+// Vouch asks a witness to renew leases.
+type Vouch struct {
+	To     Ref
+	Sent   time.Time
+	Leases []Lease
+}
+
+// Fence asks a witness to renew leases no more.
+type Fence struct {
+	To     Ref
+	Leases []Lease
+}
+
+// Handover moves shards to a new owner; the shell adds the records of the keys.
+type Handover struct {
+	To     Ref
+	Shards []Deed
+}
+
+// Deed is a shard on its way to a new owner.
+type Deed struct {
+	Shard int
+	Epoch uint64
+	Set   []Ref
+	Gap   time.Time // start of a span of which the owner knows nothing; zero for none
+}
+
+// Output is what the shell has to carry out.
+type Output struct {
+	Vouches   []Vouch
+	Fences    []Fence
+	Handovers []Handover
+	Claims    []Claim
+	Lost      []int // shards that this node stopped owning, whose records can go
+	Won       []int // shards that this node started to own
+}
+
+// holding is a shard that this node owns.
+type holding struct {
+	epoch   uint64
+	set     []Ref
+	acks    map[Ref]time.Time // send time of the last renewal that the witness granted
+	next    []Ref             // witnesses to which the lease moves
+	moved   map[Ref]bool      // witnesses of set that agreed to the move
+	gap     time.Time
+	sending bool // on its way to another node; never served here again under this epoch
+	deed    bool // received from another node and not yet claimed
+	to      Ref
+}
+
+// takeover is the fencing of an owner that was lost.
+type takeover struct {
+	epoch    uint64
+	sets     [][]Ref
+	promised map[Ref]bool
+	ready    time.Time // when the leases of the owner have run out
+	retry    time.Time
+}
+
+// promise is what this node owes as a witness.
+type promise struct {
+	epoch uint64  // leases of this epoch and earlier ones are not renewed
+	from  uint64  // epoch to which moved belongs
+	moved [][]Ref // witnesses to which its owner may have moved
+}
+
+// maxMoves bounds the sets of witnesses that one epoch may move to.
+const maxMoves = 16
+
+// Engine is the state of one node; it is a deterministic state machine.
+type Engine struct {
+	self     Node
+	start    time.Time
+	table    *Table
+	nodes    map[string]Node
+	desired  []string
+	desireAt time.Time
+	since    [Shards]time.Time // since when desired is what it is
+	stale    bool
+	held     map[int]*holding
+	takes    map[int]*takeover
+	promises map[int]promise
+	gone     map[int]uint64 // newest epoch of each shard that this node has given up
+	renewed  time.Time
+	claimed  map[int]time.Time
+	moving   time.Time
+	caughtUp time.Time
+	leaving  bool
+	policy   Policy
+	out      Output
+}
+
+// Policy switches single safeguards off, so that tests can show that they notice.
+type Policy struct {
+	NoFence bool // a takeover does not wait for the witnesses
+	NoLease bool // an owner serves without a valid lease
+	NoGap   bool // a takeover is taken to know all keys
+}
+
+// New returns the engine of a node that knows nobody.
+func New(now time.Time, self Node, p Policy) *Engine {
+	return &Engine{
+		self: self, start: now, table: newTable(), stale: true, policy: p,
+		nodes: make(map[string]Node), desired: make([]string, Shards),
+		held: make(map[int]*holding), takes: make(map[int]*takeover),
+		promises: make(map[int]promise), gone: make(map[int]uint64), claimed: make(map[int]time.Time),
+	}
+}
+
+// Take returns and clears what the shell has to carry out.
+func (e *Engine) Take() Output {
+	out := e.out
+	e.out = Output{}
+	return out
+}
+
+// Next returns the offset of the first log record not yet taken.
+func (e *Engine) Next() platform.Offset { return e.table.Next }
+
+// Table returns a copy of the table for a snapshot or a node that starts.
+func (e *Engine) Table() *Table { return e.table.clone() }
+
+// Adopt takes the table of another node or a snapshot where it is newer.
+func (e *Engine) Adopt(now time.Time, t *Table) bool {
+	if t == nil || t.Next <= e.table.Next || len(t.Rows) != Shards {
+		return false
+	}
+	e.table = t.clone()
+	for s := range e.table.Rows {
+		e.reconcile(now, s, Claim{})
+	}
+	return true
+}
+
+// Members replaces the live nodes.
+func (e *Engine) Members(list []Node) {
+	e.nodes = make(map[string]Node, len(list))
+	for _, n := range list {
+		e.nodes[n.Name] = n
+	}
+	e.stale = true
+}
+
+// CaughtUp tells that the log was read to its end at now.
+func (e *Engine) CaughtUp(now time.Time) { e.caughtUp = now }
+
+// Leave makes the node hand over all its shards.
+func (e *Engine) Leave() {
+	e.leaving = true
+	e.stale = true
+}
+
+// Held returns the number of shards that the node owns.
+func (e *Engine) Held() int { return len(e.held) }
+
+// Owner returns the nodes that may own the shard, the likeliest first.
+func (e *Engine) Owner(shard int) []string {
+	var out []string
+	if h := e.held[shard]; h != nil && !h.sending {
+		return []string{e.self.Name}
+	}
+	row := e.table.Rows[shard]
+	if n, ok := e.nodes[row.Owner.Name]; ok && n.Incarnation == row.Owner.Incarnation {
+		out = append(out, n.Name)
+	}
+	if d := e.desired[shard]; d != "" && !slices.Contains(out, d) {
+		out = append(out, d)
+	}
+	return out
+}
+
+// Serving reports whether the node may answer for the shard, and since when it knows nothing of earlier keys (zero where it knows all).
+func (e *Engine) Serving(now time.Time, shard int) (ok bool, gap time.Time) {
+	h := e.held[shard]
+	if h == nil || h.sending {
+		return false, time.Time{}
+	}
+	if !e.policy.NoLease && !now.Before(h.lease()) {
+		return false, time.Time{}
+	}
+	return true, h.gap
+}
+
+// lease returns the time until which a majority of the witnesses vouches.
+func (h *holding) lease() time.Time {
+	times := make([]time.Time, 0, witnesses)
+	for _, w := range h.set {
+		if t, ok := h.acks[w]; ok {
+			times = append(times, t)
+		}
+	}
+	need := len(h.set)/2 + 1
+	if len(times) < need {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[need-1].Add(LeaseTime)
+}
+
+// Apply takes one entry of the log.
+func (e *Engine) Apply(now time.Time, entry platform.Entry) {
+	claim, won := e.table.apply(entry)
+	for _, s := range won {
+		e.reconcile(now, s, claim)
+	}
+}
+
+// reconcile brings what this node holds in line with the log's row.
+func (e *Engine) reconcile(now time.Time, shard int, claim Claim) {
+	row := e.table.Rows[shard]
+	h := e.held[shard]
+	if row.Owner == e.self.Ref && claim.Node == e.self.Ref {
+		e.own(now, shard, row, h)
+		return
+	}
+	if h != nil && row.Epoch > h.epoch {
+		e.drop(shard, h.epoch)
+	}
+	delete(e.takes, shard)
+}
+
+// drop gives up a shard for good under its epoch.
+func (e *Engine) drop(shard int, epoch uint64) {
+	delete(e.held, shard)
+	e.gone[shard] = max(e.gone[shard], epoch)
+	e.out.Lost = append(e.out.Lost, shard)
+}
+
+// own starts a new epoch of a shard after this node's claim won.
+func (e *Engine) own(now time.Time, shard int, row Row, old *holding) {
+	h := &holding{epoch: row.Epoch, set: row.Witnesses, acks: make(map[Ref]time.Time)}
+	switch {
+	case row.Kind == Transfer && old != nil && !old.sending:
+		h.gap = old.gap
+	case row.Kind == Fresh:
+	default:
+		h.gap = now
+	}
+	if e.policy.NoGap {
+		h.gap = time.Time{}
+	}
+	delete(e.takes, shard)
+	e.held[shard] = h
+	e.out.Won = append(e.out.Won, shard)
+	e.renewed = time.Time{}
+}
+
+// Tick renews leases and starts claims, fences and handovers that are due.
+func (e *Engine) Tick(now time.Time) {
+	e.desire(now)
+	e.renew(now)
+	e.replaceWitnesses()
+	e.claim(now)
+	e.move(now)
+}
+
+// desire computes which node should own each shard.
+func (e *Engine) desire(now time.Time) {
+	if !e.stale || now.Sub(e.desireAt) < 200*time.Millisecond {
+		return
+	}
+	e.stale = false
+	e.desireAt = now
+	names := make([]string, 0, len(e.nodes))
+	for name, n := range e.nodes {
+		if !n.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	for s := range Shards {
+		best, score := "", uint64(0)
+		for _, name := range names {
+			if w := weight(s, name); w > score {
+				best, score = name, w
+			}
+		}
+		if e.desired[s] != best {
+			e.desired[s], e.since[s] = best, now
+		}
+	}
+}
+
+// renew asks the witnesses of all shards to vouch.
+func (e *Engine) renew(now time.Time) {
+	if now.Sub(e.renewed) < renewEvery {
+		return
+	}
+	e.renewed = now
+	batch := make(map[Ref][]Lease)
+	for s, h := range e.held {
+		if h.sending {
+			continue
+		}
+		for _, w := range h.set {
+			batch[w] = append(batch[w], Lease{Shard: s, Epoch: h.epoch, Set: h.next})
+		}
+		for _, w := range h.next {
+			if !slices.Contains(h.set, w) {
+				batch[w] = append(batch[w], Lease{Shard: s, Epoch: h.epoch})
+			}
+		}
+	}
+	for to, leases := range batch {
+		slices.SortFunc(leases, func(a, b Lease) int { return cmp.Compare(a.Shard, b.Shard) })
+		e.out.Vouches = append(e.out.Vouches, Vouch{To: to, Sent: now, Leases: leases})
+	}
+	slices.SortFunc(e.out.Vouches, func(a, b Vouch) int { return cmp.Compare(a.To.Name, b.To.Name) })
+}
+
+// Vouched takes the answer of a witness to a renewal sent at v.Sent.
+func (e *Engine) Vouched(v Vouch, incarnation uint64, refused []int) {
+	if incarnation != v.To.Incarnation {
+		return // another run of the node, which knows nothing of earlier promises
+	}
+	for _, l := range v.Leases {
+		h := e.held[l.Shard]
+		if h == nil || h.epoch != l.Epoch {
+			continue
+		}
+		if slices.Contains(refused, l.Shard) {
+			delete(h.acks, v.To)
+			continue
+		}
+		if v.Sent.After(h.acks[v.To]) {
+			h.acks[v.To] = v.Sent
+		}
+		if len(l.Set) > 0 && slices.Equal(l.Set, h.next) {
+			h.agree(v.To)
+		}
+	}
+}
+
+// agree counts a witness that agreed to the move; a majority of the old set completes it.
+func (h *holding) agree(w Ref) {
+	if h.moved == nil {
+		h.moved = make(map[Ref]bool)
+	}
+	if slices.Contains(h.set, w) {
+		h.moved[w] = true
+	}
+	if len(h.moved) > len(h.set)/2 {
+		h.set, h.next, h.moved = h.next, nil, nil
+	}
+}
+
+// replaceWitnesses moves leases away from witnesses that are gone, without the log.
+func (e *Engine) replaceWitnesses() {
+	for _, h := range e.held {
+		if h.sending || h.next != nil && !e.anyLost(h.next) {
+			continue
+		}
+		if !e.anyLost(h.set) && len(h.set) == min(witnesses, len(e.nodes)) {
+			h.next, h.moved = nil, nil
+			continue
+		}
+		if next := e.chooseWitnesses(h.set); !slices.Equal(next, h.set) && !slices.Equal(next, h.next) {
+			h.next, h.moved = next, nil
+		}
+	}
+}
+
+func (e *Engine) anyLost(set []Ref) bool {
+	return slices.ContainsFunc(set, func(w Ref) bool { return !e.liveRef(w) || e.nodes[w.Name].Leaving })
+}
+
+func (e *Engine) liveRef(r Ref) bool {
+	n, ok := e.nodes[r.Name]
+	return ok && n.Incarnation == r.Incarnation
+}
+
+// chooseWitnesses returns witnesses in different data centres, the own region first, keeping those of old that live.
+func (e *Engine) chooseWitnesses(old []Ref) []Ref {
+	var set []Ref
+	used := make(map[string]int)
+	add := func(n Node) {
+		set = append(set, n.Ref)
+		used[n.DataCentre]++
+	}
+	for _, w := range old {
+		if n, ok := e.nodes[w.Name]; ok && n.Incarnation == w.Incarnation && !n.Leaving {
+			add(n)
+		}
+	}
+	for len(set) < witnesses {
+		n, ok := e.bestWitness(set, used)
+		if !ok {
+			break
+		}
+		add(n)
+	}
+	slices.SortFunc(set, func(a, b Ref) int { return cmp.Compare(a.Name, b.Name) })
+	return set
+}
+
+func (e *Engine) bestWitness(set []Ref, used map[string]int) (Node, bool) {
+	var best Node
+	score := uint64(0)
+	for _, n := range e.nodes {
+		if n.Leaving || n.Name == e.self.Name && len(e.nodes) > witnesses || slices.Contains(set, n.Ref) {
+			continue
+		}
+		w := weight(0, e.self.Name+"/"+n.Name)>>2 | 1
+		if used[n.DataCentre] == 0 {
+			w |= 1 << 63
+		}
+		if n.Region == e.self.Region {
+			w |= 1 << 62
+		}
+		if w > score {
+			best, score = n, w
+		}
+	}
+	return best, score > 0
+}
+
+// Vouch answers as a witness: it returns the shards whose leases are not renewed.
+func (e *Engine) Vouch(leases []Lease) (refused []int) {
+	for _, l := range leases {
+		p := e.promises[l.Shard]
+		if p.epoch >= l.Epoch || len(p.moved) >= maxMoves {
+			refused = append(refused, l.Shard)
+			continue
+		}
+		if len(l.Set) > 0 {
+			e.promises[l.Shard] = p.move(l)
+		}
+	}
+	return refused
+}
+
+// move notes that the owner may have moved to the witnesses of the lease.
+func (p promise) move(l Lease) promise {
+	if p.from != l.Epoch {
+		p.from, p.moved = l.Epoch, nil
+	}
+	if !slices.ContainsFunc(p.moved, func(set []Ref) bool { return slices.Equal(set, l.Set) }) {
+		p.moved = append(p.moved, l.Set)
+	}
+	return p
+}
+
+// Fence answers as a witness: it returns the shards promised, and where leases were moved to other witnesses.
+func (e *Engine) Fence(leases []Lease) (promised []int, moved []Lease) {
+	for _, l := range leases {
+		p := e.promises[l.Shard]
+		p.epoch = max(p.epoch, l.Epoch)
+		if p.from == l.Epoch {
+			for _, set := range p.moved {
+				moved = append(moved, Lease{Shard: l.Shard, Epoch: l.Epoch, Set: set})
+			}
+		}
+		e.promises[l.Shard] = p
+		promised = append(promised, l.Shard)
+	}
+	return promised, moved
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,185 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/ownership"
+	"github.com/jasminevane/jasminevane/peer/peerv1"
+	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
+	"github.com/jasminevane/jasminevane/rollout"
+	"github.com/pkg/errors"
+)
+
+// Timing of connections between nodes.
+const (
+	dialTimeout = 500 * time.Millisecond
+	idleTimeout = 60 * time.Second
+	pingAfter   = 2 * time.Second // silence after which a connection is tried
+	pingTimeout = time.Second
+)
+
+// Dialer connects to the address of a node.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client calls other nodes.
+type Client struct {
+	transport *http.Transport
+	mu        sync.Mutex
+	clients   map[string]peerv1connect.PeerClient
+}
+
+// NewClient returns a client that connects by dial, or by TCP where dial is nil.
+func NewClient(dial Dialer) *Client {
+	if dial == nil {
+		d := &net.Dialer{Timeout: dialTimeout}
+		dial = d.DialContext
+	}
+	t := &http.Transport{
+		DialContext:        dial,
+		IdleConnTimeout:    idleTimeout,
+		DisableCompression: true,
+		Protocols:          new(http.Protocols),
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter,
+			PingTimeout:     pingTimeout,
+		},
+	}
+	t.Protocols.SetUnencryptedHTTP2(true)
+	return &Client{transport: t, clients: make(map[string]peerv1connect.PeerClient)}
+}
+
+// Close closes the connections that are idle.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Forget drops the client of an address that is no longer used.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.clients, address)
+}
+
+// Peer returns the generated client of the node at the address.
+func (c *Client) Peer(address string) peerv1connect.PeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.clients[address]
+	if p == nil {
+		p = peerv1connect.NewPeerClient(&http.Client{Transport: c.transport}, "http://"+address, connect.WithReadMaxBytes(maxMessage))
+		c.clients[address] = p
+	}
+	return p
+}
+
+// Exchange sends a heartbeat and returns the answer.
+func (c *Client) Exchange(ctx context.Context, address string, b Beat) (Beat, error) {
+	ans, err := c.Peer(address).Exchange(ctx, connect.NewRequest(b.proto()))
+	if err != nil {
+		return Beat{}, errors.Wrapf(err, "exchange with %s", address)
+	}
+	return beat(ans.Msg), nil
+}
+
+// Fetch asks for what this node lacks after the positions.
+func (c *Client) Fetch(ctx context.Context, address string, at []Position) (Lack, error) {
+	ans, err := c.Peer(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Positions: positionsProto(at)}))
+	if err != nil {
+		return Lack{}, errors.Wrapf(err, "fetch from %s", address)
+	}
+	lack := Lack{Entries: logEntries(ans.Msg.GetEntries())}
+	if lack.Bundle, err = optional[rollout.State](ans.Msg.GetBundle()); err != nil {
+		return Lack{}, err
+	}
+	lack.Owners, err = optional[ownership.Table](ans.Msg.GetOwners())
+	return lack, err
+}
+
+func optional[T any](data []byte) (*T, error) {
+	if len(data) == 0 {
+		return nil, nil
+	}
+	v := new(T)
+	return v, errors.Wrap(json.Unmarshal(data, v), "decode state")
+}
+
+// Vouch asks the witness at address to renew leases.
+func (c *Client) Vouch(ctx context.Context, address string, list []ownership.Lease) (incarnation uint64, refused []int, err error) {
+	ans, err := c.Peer(address).Vouch(ctx, connect.NewRequest(&peerv1.VouchRequest{Leases: leasesProto(list)}))
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "vouch by %s", address)
+	}
+	return ans.Msg.GetIncarnation(), shards(ans.Msg.GetRefused()), nil
+}
+
+// FenceAnswer is what a witness promised.
+type FenceAnswer struct {
+	Incarnation uint64
+	Promised    []int
+	Moved       []ownership.Lease
+}
+
+// Fence asks the witness at address to renew leases no more.
+func (c *Client) Fence(ctx context.Context, address string, list []ownership.Lease) (FenceAnswer, error) {
+	ans, err := c.Peer(address).Fence(ctx, connect.NewRequest(&peerv1.FenceRequest{Leases: leasesProto(list)}))
+	if err != nil {
+		return FenceAnswer{}, errors.Wrapf(err, "fence by %s", address)
+	}
+	m := ans.Msg
+	return FenceAnswer{Incarnation: m.GetIncarnation(), Promised: shards(m.GetPromised()), Moved: leases(m.GetMoved())}, nil
+}
+
+// Handover gives shards to the node at address and returns its incarnation and whether it took them.
+func (c *Client) Handover(ctx context.Context, address string, list []Parcel) (incarnation uint64, accepted bool, err error) {
+	req := &peerv1.HandoverRequest{Shards: parcelsProto(list, time.Now())}
+	ans, err := c.Peer(address).Handover(ctx, connect.NewRequest(req))
+	if err != nil {
+		return 0, false, errors.Wrapf(err, "handover to %s", address)
+	}
+	return ans.Msg.GetIncarnation(), ans.Msg.GetAccepted(), nil
+}
+
+// Events asks the node at address for its events.
+func (c *Client) Events(ctx context.Context, address string, f event.Filter) ([]event.Event, error) {
+	req := &peerv1.EventsRequest{Kind: string(f.Kind), Upstream: f.Upstream, Request: f.Request}
+	ans, err := c.Peer(address).Events(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, errors.Wrapf(err, "events from %s", address)
+	}
+	var list []event.Event
+	return list, errors.Wrap(json.Unmarshal(ans.Msg.GetEvents(), &list), "decode events")
+}
+
+// Allot asks the node at address for a part of a caller's limit.
+func (c *Client) Allot(ctx context.Context, address, caller string, want, used float64) (float64, error) {
+	req := &peerv1.AllotRequest{Caller: caller, Want: want, Used: used}
+	ans, err := c.Peer(address).Allot(ctx, connect.NewRequest(req))
+	if err != nil {
+		return 0, errors.Wrapf(err, "allot from %s", address)
+	}
+	return ans.Msg.GetGranted(), nil
+}
+
+// Probe asks the node at via whether it reaches address.
+func (c *Client) Probe(ctx context.Context, via, address string) (bool, error) {
+	ans, err := c.Peer(via).Probe(ctx, connect.NewRequest(&peerv1.ProbeRequest{Address: address}))
+	if err != nil {
+		return false, errors.Wrapf(err, "probe through %s", via)
+	}
+	return ans.Msg.GetReached(), nil
+}
+
+// Standing asks the node at address for the load of its upstream.
+func (c *Client) Standing(ctx context.Context, address, upstream, class string) (string, error) {
+	req := &peerv1.StandingRequest{Upstream: upstream, Class: class}
+	ans, err := c.Peer(address).Standing(ctx, connect.NewRequest(req))
+	if err != nil {
+		return "", errors.Wrapf(err, "standing from %s", address)
+	}
+	return ans.Msg.GetLoad(), nil
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,244 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/idempotency"
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/ownership"
+	"github.com/jasminevane/jasminevane/peer/peerv1"
+	"github.com/jasminevane/jasminevane/platform"
+)
+
+// Position is the offset after the last entry of a stream that a node has taken.
+type Position struct {
+	Stream string
+	Next   platform.Offset
+}
+
+// LogEntry is an entry of a stream of the platform's log.
+type LogEntry struct {
+	Stream string
+	platform.Entry
+}
+
+// Beat is a heartbeat or its answer with the news of the log.
+type Beat struct {
+	Stamp     event.Stamp
+	Message   membership.Message
+	Positions []Position
+	Entries   []LogEntry
+}
+
+// Parcel is a shard of keys with its records on the way to a new owner.
+type Parcel struct {
+	Deed    ownership.Deed
+	Records []idempotency.Record
+}
+
+func (b Beat) proto() *peerv1.Heartbeat {
+	h := &peerv1.Heartbeat{
+		Name:        b.Message.Name,
+		Incarnation: b.Message.Incarnation,
+		Stamp:       uint64(b.Stamp),
+		Digest:      b.Message.Digest,
+		Buckets:     b.Message.Buckets,
+		Positions:   positionsProto(b.Positions),
+		Entries:     entriesProto(b.Entries),
+	}
+	for i := range b.Message.Members {
+		h.Members = append(h.Members, memberProto(&b.Message.Members[i]))
+	}
+	return h
+}
+
+func beat(h *peerv1.Heartbeat) Beat {
+	b := Beat{
+		Stamp:     event.Stamp(h.GetStamp()),
+		Positions: positions(h.GetPositions()),
+		Entries:   logEntries(h.GetEntries()),
+		Message: membership.Message{
+			Name:        h.GetName(),
+			Incarnation: h.GetIncarnation(),
+			Digest:      h.GetDigest(),
+			Buckets:     h.GetBuckets(),
+		},
+	}
+	for _, m := range h.GetMembers() {
+		b.Message.Members = append(b.Message.Members, member(m))
+	}
+	return b
+}
+
+func memberProto(m *membership.Member) *peerv1.Member {
+	p := &peerv1.Member{
+		Name:        m.Name,
+		Incarnation: m.Incarnation,
+		Seq:         m.Seq,
+		Status:      peerv1.Status(m.Status),
+		Region:      m.Region,
+		DataCentre:  m.DataCentre,
+		Address:     m.Address,
+	}
+	for _, u := range m.Upstreams {
+		p.Upstreams = append(p.Upstreams, &peerv1.Upstream{
+			Id:      u.ID,
+			Service: u.Service,
+			Slots:   uint32(u.Slots),
+			State:   peerv1.State(u.State),
+		})
+	}
+	return p
+}
+
+func member(p *peerv1.Member) membership.Member {
+	m := membership.Member{
+		Name:        p.GetName(),
+		Incarnation: p.GetIncarnation(),
+		Seq:         p.GetSeq(),
+		Status:      membership.Status(p.GetStatus()),
+		Region:      p.GetRegion(),
+		DataCentre:  p.GetDataCentre(),
+		Address:     p.GetAddress(),
+	}
+	for _, u := range p.GetUpstreams() {
+		m.Upstreams = append(m.Upstreams, membership.Upstream{
+			ID:      u.GetId(),
+			Service: u.GetService(),
+			Slots:   int(u.GetSlots()),
+			State:   membership.State(u.GetState()),
+		})
+	}
+	return m
+}
+
+func entriesProto(list []LogEntry) []*peerv1.LogEntry {
+	var out []*peerv1.LogEntry
+	for _, e := range list {
+		out = append(out, &peerv1.LogEntry{
+			Stream: e.Stream,
+			Offset: uint64(e.Offset),
+			TimeMs: e.Time.UnixMilli(),
+			Id:     e.ID,
+			Data:   e.Data,
+		})
+	}
+	return out
+}
+
+func logEntries(list []*peerv1.LogEntry) []LogEntry {
+	var out []LogEntry
+	for _, p := range list {
+		e := platform.Entry{Offset: platform.Offset(p.GetOffset()), Time: time.UnixMilli(p.GetTimeMs())}
+		e.Record = platform.Record{ID: p.GetId(), Data: p.GetData()}
+		out = append(out, LogEntry{Stream: p.GetStream(), Entry: e})
+	}
+	return out
+}
+
+func positionsProto(list []Position) []*peerv1.Position {
+	var out []*peerv1.Position
+	for _, p := range list {
+		out = append(out, &peerv1.Position{Stream: p.Stream, Next: uint64(p.Next)})
+	}
+	return out
+}
+
+func positions(list []*peerv1.Position) []Position {
+	var out []Position
+	for _, p := range list {
+		out = append(out, Position{Stream: p.GetStream(), Next: platform.Offset(p.GetNext())})
+	}
+	return out
+}
+
+func setProto(set []ownership.Ref) []*peerv1.Witness {
+	var out []*peerv1.Witness
+	for _, r := range set {
+		out = append(out, &peerv1.Witness{Name: r.Name, Incarnation: r.Incarnation})
+	}
+	return out
+}
+
+func refs(set []*peerv1.Witness) []ownership.Ref {
+	var out []ownership.Ref
+	for _, p := range set {
+		out = append(out, ownership.Ref{Name: p.GetName(), Incarnation: p.GetIncarnation()})
+	}
+	return out
+}
+
+func leasesProto(list []ownership.Lease) []*peerv1.Lease {
+	var out []*peerv1.Lease
+	for _, l := range list {
+		out = append(out, &peerv1.Lease{Shard: uint32(l.Shard), Epoch: l.Epoch, Set: setProto(l.Set)})
+	}
+	return out
+}
+
+func leases(list []*peerv1.Lease) []ownership.Lease {
+	var out []ownership.Lease
+	for _, p := range list {
+		out = append(out, ownership.Lease{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), Set: refs(p.GetSet())})
+	}
+	return out
+}
+
+func shardsProto(list []int) []uint32 {
+	var out []uint32
+	for _, s := range list {
+		out = append(out, uint32(s))
+	}
+	return out
+}
+
+func shards(list []uint32) []int {
+	var out []int
+	for _, s := range list {
+		out = append(out, int(s))
+	}
+	return out
+}
+
+func parcelsProto(list []Parcel, now time.Time) []*peerv1.Shard {
+	var out []*peerv1.Shard
+	for _, p := range list {
+		s := &peerv1.Shard{Shard: uint32(p.Deed.Shard), Epoch: p.Deed.Epoch, Set: setProto(p.Deed.Set)}
+		if !p.Deed.Gap.IsZero() {
+			s.GapMs = max(1, now.Sub(p.Deed.Gap).Milliseconds())
+		}
+		for _, r := range p.Records {
+			s.Records = append(s.Records, &peerv1.KeyRecord{
+				Key:         r.Key,
+				Fingerprint: r.Fingerprint,
+				State:       uint32(r.State),
+				AgeMs:       now.Sub(r.At).Milliseconds(),
+				Answer:      r.Answer,
+			})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func parcels(list []*peerv1.Shard, now time.Time) []Parcel {
+	var out []Parcel
+	for _, s := range list {
+		p := Parcel{Deed: ownership.Deed{Shard: int(s.GetShard()), Epoch: s.GetEpoch(), Set: refs(s.GetSet())}}
+		if s.GetGapMs() > 0 {
+			p.Deed.Gap = now.Add(-time.Duration(s.GetGapMs()) * time.Millisecond)
+		}
+		for _, r := range s.GetRecords() {
+			p.Records = append(p.Records, idempotency.Record{
+				Key:         r.GetKey(),
+				Fingerprint: r.GetFingerprint(),
+				State:       idempotency.State(r.GetState()),
+				At:          now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+				Answer:      r.GetAnswer(),
+			})
+		}
+		out = append(out, p)
+	}
+	return out
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/ownership"
+	"github.com/jasminevane/jasminevane/peer/peerv1"
+	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
+	"github.com/jasminevane/jasminevane/rollout"
+)
+
+// maxMessage bounds the bytes of one control message.
+const maxMessage = 64 << 20
+
+// Lack is what a node needs to catch up: log entries, or the whole state of the bundle and of the owners.
+type Lack struct {
+	Entries []LogEntry
+	Bundle  *rollout.State
+	Owners  *ownership.Table
+}
+
+// Node answers the control protocol.
+type Node interface {
+	// Exchange takes a heartbeat and returns the answer.
+	Exchange(b Beat) Beat
+	// Fetch returns what a node at the positions lacks.
+	Fetch(at []Position) Lack
+	// Reach reports whether the node answers that has the address.
+	Reach(ctx context.Context, address string) bool
+	// Standing returns the load of an upstream with the evidence on a class.
+	Standing(upstream, class string) (load string, ok bool)
+	// Allot grants a part of a caller's limit.
+	Allot(caller string, want, used float64) float64
+	// Events returns the recorded events that match f.
+	Events(f event.Filter) []event.Event
+	// Vouch renews leases and returns the node's incarnation and the shards refused.
+	Vouch(list []ownership.Lease) (incarnation uint64, refused []int)
+	// Fence promises to renew the leases no more and returns where they were moved.
+	Fence(list []ownership.Lease) (incarnation uint64, promised []int, moved []ownership.Lease)
+	// Handover takes shards from their owner.
+	Handover(list []Parcel) (incarnation uint64, accepted bool)
+}
+
+// server adapts a Node to the generated handler.
+type server struct {
+	peerv1connect.UnimplementedPeerHandler
+	node Node
+}
+
+// NewHandler returns the path and handler of the control protocol.
+func NewHandler(n Node) (string, http.Handler) {
+	return peerv1connect.NewPeerHandler(&server{node: n}, connect.WithReadMaxBytes(maxMessage))
+}
+
+func (s *server) Exchange(_ context.Context, req *connect.Request[peerv1.Heartbeat]) (*connect.Response[peerv1.Heartbeat], error) {
+	return connect.NewResponse(s.node.Exchange(beat(req.Msg)).proto()), nil
+}
+
+func (s *server) Fetch(_ context.Context, req *connect.Request[peerv1.FetchRequest]) (*connect.Response[peerv1.FetchResponse], error) {
+	lack := s.node.Fetch(positions(req.Msg.GetPositions()))
+	out := &peerv1.FetchResponse{Entries: entriesProto(lack.Entries)}
+	var err error
+	if lack.Bundle != nil {
+		out.Bundle, err = json.Marshal(lack.Bundle)
+	}
+	if lack.Owners != nil && err == nil {
+		out.Owners, err = json.Marshal(lack.Owners)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(out), nil
+}
+
+func (s *server) Probe(ctx context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
+	ok := s.node.Reach(ctx, req.Msg.GetAddress())
+	return connect.NewResponse(&peerv1.ProbeResponse{Reached: ok}), nil
+}
+
+func (s *server) Standing(_ context.Context, req *connect.Request[peerv1.StandingRequest]) (*connect.Response[peerv1.StandingResponse], error) {
+	load, ok := s.node.Standing(req.Msg.GetUpstream(), req.Msg.GetClass())
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, nil)
+	}
+	return connect.NewResponse(&peerv1.StandingResponse{Load: load}), nil
+}
+
+func (s *server) Vouch(_ context.Context, req *connect.Request[peerv1.VouchRequest]) (*connect.Response[peerv1.VouchResponse], error) {
+	inc, refused := s.node.Vouch(leases(req.Msg.GetLeases()))
+	return connect.NewResponse(&peerv1.VouchResponse{Incarnation: inc, Refused: shardsProto(refused)}), nil
+}
+
+func (s *server) Fence(_ context.Context, req *connect.Request[peerv1.FenceRequest]) (*connect.Response[peerv1.FenceResponse], error) {
+	inc, promised, moved := s.node.Fence(leases(req.Msg.GetLeases()))
+	out := &peerv1.FenceResponse{Incarnation: inc, Promised: shardsProto(promised), Moved: leasesProto(moved)}
+	return connect.NewResponse(out), nil
+}
+
+func (s *server) Handover(_ context.Context, req *connect.Request[peerv1.HandoverRequest]) (*connect.Response[peerv1.HandoverResponse], error) {
+	inc, ok := s.node.Handover(parcels(req.Msg.GetShards(), time.Now()))
+	return connect.NewResponse(&peerv1.HandoverResponse{Incarnation: inc, Accepted: ok}), nil
+}
+
+func (s *server) Events(_ context.Context, req *connect.Request[peerv1.EventsRequest]) (*connect.Response[peerv1.EventsResponse], error) {
+	m := req.Msg
+	f := event.Filter{Kind: event.Kind(m.GetKind()), Upstream: m.GetUpstream(), Request: m.GetRequest()}
+	data, err := json.Marshal(s.node.Events(f))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&peerv1.EventsResponse{Events: data}), nil
+}
+
+func (s *server) Allot(_ context.Context, req *connect.Request[peerv1.AllotRequest]) (*connect.Response[peerv1.AllotResponse], error) {
+	m := req.Msg
+	n := s.node.Allot(m.GetCaller(), m.GetWant(), m.GetUsed())
+	return connect.NewResponse(&peerv1.AllotResponse{Granted: n}), nil
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,28 @@
+package retry
+
+// maxTokens bounds the retries that may be saved up.
+const maxTokens = 10
+
+// Budget allows retries up to a ratio of requests; the zero value allows none.
+type Budget struct {
+	ratio  float64
+	tokens float64
+}
+
+// NewBudget returns a budget of ratio retries for each request.
+func NewBudget(ratio float64) *Budget { return &Budget{ratio: ratio} }
+
+// SetRatio changes the retries allowed for each request.
+func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
+
+// Request counts a first attempt.
+func (b *Budget) Request() { b.tokens = min(maxTokens, b.tokens+b.ratio) }
+
+// Take reports whether one more attempt is allowed and counts it.
+func (b *Budget) Take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry bounds repeated attempts by a ratio of the first ones.
+package retry
--- /dev/null
+++ b/rollout/step.go
@@ -0,0 +1,70 @@
+package rollout
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/jasminevane/jasminevane/bundle"
+	"github.com/jasminevane/jasminevane/keyring"
+)
+
+// Step is one version in the chain: a delta on the version before, in force in the data centres it names.
+type Step struct {
+	ID         string              `json:"id"`
+	Version    uint64              `json:"version"`
+	Author     string              `json:"author"`
+	Delta      bundle.Delta        `json:"delta"`
+	Release    []string            `json:"release,omitempty"` // data centres; empty for all
+	Signatures []keyring.Signature `json:"signatures,omitempty"`
+}
+
+// Message returns the bytes that signers sign: all of the step but the signatures.
+func (s *Step) Message() []byte {
+	text := fmt.Sprintf("jasminevane step\n%s\n%d\n%s\n%x\n%x\n%s\n",
+		s.ID, s.Version, s.Author, s.Delta.Base, s.Delta.Result, strings.Join(s.Release, ","))
+	sum := sha256.Sum256([]byte(text))
+	return sum[:]
+}
+
+// staged reports whether the step is in force in some data centres only.
+func (s *Step) staged() bool { return len(s.Release) > 0 }
+
+// covers reports whether the step is in force in the data centre.
+func (s *Step) covers(dc string) bool { return !s.staged() || slices.Contains(s.Release, dc) }
+
+// empty reports whether the step only widens the release of the one before.
+func (s *Step) empty() bool { return s.Delta.Base == s.Delta.Result }
+
+// Kind is the type of a log record.
+type Kind string
+
+// The types of log records.
+const (
+	Propose  Kind = "propose"
+	Approve  Kind = "approve"
+	Roll     Kind = "roll"
+	Snapshot Kind = "snapshot"
+)
+
+// Record is what operators and nodes append to the stream.
+type Record struct {
+	Kind      Kind               `json:"kind"`
+	ID        string             `json:"id"`
+	Step      *Step              `json:"step,omitempty"`
+	Signature *keyring.Signature `json:"signature,omitempty"`
+	State     *State             `json:"state,omitempty"`
+}
+
+// State is the whole state of an engine as kept in snapshots and sent to nodes that start.
+type State struct {
+	Head    Step           `json:"head"`
+	Entries []bundle.Entry `json:"entries"`
+	Back    *bundle.Delta  `json:"back,omitempty"` // from the head to what is in force elsewhere
+	Offset  uint64         `json:"offset"`         // records before it are part of the state
+	Open    []Step         `json:"open,omitempty"`
+}
+
+// Stream is the name of the log stream that holds the records.
+const Stream = "bundle"
--- /dev/null
+++ b/routing/group.go
@@ -0,0 +1,439 @@
+package routing
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jasminevane/jasminevane/admission"
+	"github.com/jasminevane/jasminevane/outlier"
+)
+
+// Parameters of the choice.
+const (
+	maxSubset    = 32                     // upstreams of one service that a node routes to
+	choices      = 2                      // candidates compared for a request
+	loadDecay    = 500 * time.Millisecond // time constant with which a reported load is forgotten
+	refusalAge   = 75 * time.Millisecond  // span for which a reported refusal is believed
+	spillLoad    = 0.9                    // load for each slot above which the next tier is tried
+	farPenalty   = 0.6                    // load added for each tier of distance
+	rampTime     = 5 * time.Second        // time until a new upstream has its full share
+	rampStart    = 0.1                    // share of a new upstream
+	trialShare   = 0.03                   // share of its fair load that an upstream on trial gets
+	failWeight   = 10.0                   // weight of the failure share in the score
+	maxSlowness  = 20.0                   // bound of the slowness in the score
+	firstAvoid   = time.Second            // time for which a node is avoided after a path failure
+	maxAvoid     = 30 * time.Second       // longest time for which a node is avoided
+	meanInterval = 50 * time.Millisecond  // interval at which the group's mean is renewed
+)
+
+// Tier is the distance of an upstream.
+type Tier int
+
+// The tiers, nearest first.
+const (
+	SameDataCentre Tier = iota
+	SameRegion
+	OtherRegion
+	tiers
+)
+
+// Upstream is one upstream as known from membership.
+type Upstream struct {
+	ID    string
+	Node  string
+	Tier  Tier
+	Slots int
+	Ready bool
+}
+
+// Choice is the upstream chosen for one attempt.
+type Choice struct {
+	ID    string
+	Node  string
+	Tier  Tier
+	Trial bool
+}
+
+// Refusal says why no upstream was chosen.
+type Refusal string
+
+// The reasons for choosing none.
+const (
+	NoUpstream Refusal = "no-upstream"
+	Busy       Refusal = "overload"
+)
+
+// Error reports that no upstream could be chosen.
+type Error struct {
+	service string
+	reason  Refusal
+}
+
+// Reason returns why none was chosen.
+func (e *Error) Reason() Refusal { return e.reason }
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("route to %s: %s", e.service, e.reason) }
+
+// Query describes an attempt to be routed.
+type Query struct {
+	Class      int
+	Exclude    []string // upstreams that earlier attempts used
+	Far        bool     // another region may be used
+	Idempotent bool
+}
+
+// Observation is what one attempt showed.
+type Observation struct {
+	Load     admission.Load
+	Reported bool // an answer with load and evidence arrived
+	Evidence outlier.Report
+	PathLost bool // the node of the upstream could not be reached or did not answer
+}
+
+type endpoint struct {
+	Upstream
+	own       int // attempts of this node that are running
+	load      float64
+	ownAtLoad int
+	loadAt    time.Time
+	limit     int
+	refusing  uint32
+	refusedAt time.Time
+	rampFrom  time.Time
+	avoid     time.Time
+	avoidFor  time.Duration
+}
+
+// Group routes the requests of one service.
+type Group struct {
+	service  string
+	self     string
+	classes  int
+	detector *outlier.Detector
+	byID     map[string]*endpoint
+	eligible [][tiers][]*endpoint // by class
+	trying   [][]*endpoint        // by class
+	means    []float64            // by class
+	meansAt  time.Time
+	started  bool
+}
+
+// NewGroup returns a group for one service of a node; classes is the number of classes of work.
+func NewGroup(service, self string, floor float64, classes int) *Group {
+	g := &Group{
+		service:  service,
+		self:     self,
+		classes:  classes,
+		detector: outlier.NewDetector(floor, classes),
+		byID:     make(map[string]*endpoint),
+		means:    make([]float64, classes),
+	}
+	g.index()
+	return g
+}
+
+// SetFloor changes the share of upstreams that ejection leaves in service.
+func (g *Group) SetFloor(floor float64) { g.detector.SetFloor(floor) }
+
+// Detector returns the detector of the group.
+func (g *Group) Detector() *outlier.Detector { return g.detector }
+
+// Update replaces the upstreams of the service by those known from membership.
+func (g *Group) Update(now time.Time, list []Upstream) {
+	list = g.subset(list)
+	seen := make(map[string]bool, len(list))
+	for _, u := range list {
+		seen[u.ID] = true
+		g.put(now, u)
+	}
+	for id := range g.byID {
+		if !seen[id] {
+			delete(g.byID, id)
+		}
+	}
+	g.started = g.started || len(list) > 0
+	reach := make(map[string]bool, len(list))
+	for _, u := range list {
+		reach[u.ID] = u.Ready && !now.Before(g.byID[u.ID].avoid)
+	}
+	g.detector.Members(reach)
+	g.index()
+}
+
+func (g *Group) put(now time.Time, u Upstream) {
+	e := g.byID[u.ID]
+	if e == nil {
+		e = &endpoint{limit: u.Slots}
+		if g.started {
+			e.rampFrom = now
+		}
+		g.byID[u.ID] = e
+	}
+	if u.Ready && !e.Ready && e.ID != "" {
+		e.rampFrom = now
+	}
+	if u.Node != e.Node {
+		e.avoid, e.avoidFor = time.Time{}, 0
+	}
+	e.Upstream = u
+}
+
+// subset keeps at most maxSubset upstreams: near ones first, then those that rank highest for this node.
+func (g *Group) subset(list []Upstream) []Upstream {
+	if len(list) <= maxSubset {
+		return list
+	}
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b Upstream) int {
+		return cmp.Compare(g.rank(b), g.rank(a))
+	})
+	var kept, rest []Upstream
+	quota := [tiers]int{maxSubset / 2, maxSubset / 4, maxSubset / 4}
+	for _, u := range out {
+		if quota[u.Tier] > 0 {
+			quota[u.Tier]--
+			kept = append(kept, u)
+			continue
+		}
+		rest = append(rest, u)
+	}
+	n := maxSubset - len(kept)
+	return append(kept, rest[:min(n, len(rest))]...)
+}
+
+func (g *Group) rank(u Upstream) uint64 { return xxhash.Sum64String(g.self + "|" + u.ID) }
+
+// index rebuilds the lists from which Pick samples.
+func (g *Group) index() {
+	g.eligible = make([][tiers][]*endpoint, g.classes)
+	g.trying = make([][]*endpoint, g.classes)
+	ids := make([]string, 0, len(g.byID))
+	for id := range g.byID {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		e := g.byID[id]
+		if !e.Ready {
+			continue
+		}
+		for c := range g.classes {
+			switch g.detector.Status(id, c) {
+			case outlier.Serving:
+				g.eligible[c][e.Tier] = append(g.eligible[c][e.Tier], e)
+			case outlier.Trying:
+				g.trying[c] = append(g.trying[c], e)
+			}
+		}
+	}
+}
+
+// Pick chooses the upstream for one attempt and counts it as running; the error is an *Error.
+func (g *Group) Pick(now time.Time, q Query, rnd *rand.Rand) (Choice, error) {
+	if e := g.trial(now, q, rnd); e != nil {
+		e.own++
+		return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Trial: true}, nil
+	}
+	var best *endpoint
+	score := math.Inf(1)
+	refused := false
+	last := SameRegion
+	if q.Far {
+		last = OtherRegion
+	}
+	for t := SameDataCentre; t <= last; t++ {
+		e, s, busy := g.sample(now, q, t, rnd)
+		refused = refused || busy
+		if e != nil && s+farPenalty*float64(t) < score {
+			best, score = e, s+farPenalty*float64(t)
+		}
+		if score < spillLoad {
+			break
+		}
+	}
+	if best == nil {
+		reason := NoUpstream
+		if refused {
+			reason = Busy
+		}
+		return Choice{}, &Error{service: g.service, reason: reason}
+	}
+	best.own++
+	return Choice{ID: best.ID, Node: best.Node, Tier: best.Tier}, nil
+}
+
+// trial returns an upstream on trial for a small share of the requests that may be repeated.
+func (g *Group) trial(now time.Time, q Query, rnd *rand.Rand) *endpoint {
+	list := g.trying[q.Class]
+	if len(list) == 0 || len(q.Exclude) > 0 {
+		return nil
+	}
+	if rnd.Float64()*float64(len(g.byID)) >= trialShare*float64(len(list)) {
+		return nil
+	}
+	e := list[rnd.IntN(len(list))]
+	if e.own > 0 || now.Before(e.avoid) || e.Tier == OtherRegion && !q.Far {
+		return nil
+	}
+	return e
+}
+
+// sample compares a few candidates of one tier and returns the least loaded with its score.
+func (g *Group) sample(now time.Time, q Query, t Tier, rnd *rand.Rand) (best *endpoint, score float64, busy bool) {
+	list := g.eligible[q.Class][t]
+	score = math.Inf(1)
+	for range min(choices, len(list)) {
+		e, refused := scan(now, q, list, rnd.IntN(len(list)), best)
+		busy = busy || refused
+		if e == nil {
+			break
+		}
+		if s := g.score(now, e, q.Class); s < score {
+			best, score = e, s
+		}
+	}
+	return best, score, busy
+}
+
+// scan returns the first usable endpoint at or after start other than skip, and whether one was passed because it refuses.
+func scan(now time.Time, q Query, list []*endpoint, start int, skip *endpoint) (e *endpoint, refused bool) {
+	for i := range list {
+		e = list[(start+i)%len(list)]
+		if e == skip || now.Before(e.avoid) || slices.Contains(q.Exclude, e.ID) {
+			continue
+		}
+		if e.refuses(now, q.Class) {
+			refused = true
+			continue
+		}
+		return e, refused
+	}
+	return nil, refused
+}
+
+func (e *endpoint) refuses(now time.Time, class int) bool {
+	return e.refusing&(1<<class) != 0 && now.Sub(e.refusedAt) < refusalAge
+}
+
+// score estimates the work ahead of a new request for each slot, weighted by slowness and failures.
+func (g *Group) score(now time.Time, e *endpoint, class int) float64 {
+	age := now.Sub(e.loadAt)
+	load := e.load*math.Exp(-float64(age)/float64(loadDecay)) + float64(max(0, e.own-e.ownAtLoad))
+	load = max(load, float64(e.own))
+	slow := g.detector.Slowness(now, e.ID, class, g.mean(now, class))
+	slow = min(maxSlowness, max(0.5, slow))
+	fail := 1 + failWeight*g.detector.Failing(now, e.ID, class)
+	return (load + 1) / (float64(max(1, e.limit)) * e.weight(now)) * slow * fail
+}
+
+func (g *Group) mean(now time.Time, class int) float64 {
+	if now.Sub(g.meansAt) >= meanInterval {
+		g.meansAt = now
+		for c := range g.means {
+			g.means[c] = g.detector.GroupMean(now, c)
+		}
+	}
+	return g.means[class]
+}
+
+// weight is the share of its capacity that a new or restored upstream is given.
+func (e *endpoint) weight(now time.Time) float64 {
+	if e.rampFrom.IsZero() {
+		return 1
+	}
+	done := float64(now.Sub(e.rampFrom)) / float64(rampTime)
+	return min(1, rampStart+(1-rampStart)*max(0, done))
+}
+
+// Observe ends an attempt and takes what it showed.
+func (g *Group) Observe(now time.Time, c Choice, class int, o Observation) {
+	e := g.byID[c.ID]
+	if e == nil {
+		return
+	}
+	e.own = max(0, e.own-1)
+	if o.PathLost {
+		g.avoid(now, e)
+		return
+	}
+	if o.Reported {
+		g.Learn(now, c.ID, class, o)
+	}
+}
+
+// Learn takes load and evidence that arrived with an answer or on request.
+func (g *Group) Learn(now time.Time, id string, class int, o Observation) {
+	e := g.byID[id]
+	if e == nil {
+		return
+	}
+	if e.avoidFor > 0 {
+		e.avoid, e.avoidFor = time.Time{}, 0
+		g.detector.Reachable(id, e.Ready)
+	}
+	e.load = float64(o.Load.Running + o.Load.Queued)
+	e.ownAtLoad = e.own
+	e.loadAt = now
+	e.limit = o.Load.Limit
+	e.refusing, e.refusedAt = o.Load.Refusing, now
+	g.detector.Report(now, id, class, o.Evidence)
+}
+
+// Avoid routes around the node of the upstream because the path to it is lost.
+func (g *Group) Avoid(now time.Time, id string) {
+	if e := g.byID[id]; e != nil {
+		g.avoid(now, e)
+	}
+}
+
+// avoid routes around the node of e for a time that doubles with each failure in a row.
+func (g *Group) avoid(now time.Time, e *endpoint) {
+	if now.Before(e.avoid) {
+		return
+	}
+	e.avoidFor = min(maxAvoid, max(firstAvoid, 2*e.avoidFor))
+	e.avoid = now.Add(e.avoidFor)
+	g.detector.Reachable(e.ID, false)
+}
+
+// Evaluate judges the upstreams and returns the changes of standing.
+func (g *Group) Evaluate(now time.Time) []outlier.Change {
+	changes := g.detector.Evaluate(now)
+	for _, c := range changes {
+		if e := g.byID[c.ID]; e != nil && c.To == outlier.Serving {
+			e.rampFrom = now
+		}
+	}
+	if len(changes) > 0 {
+		g.index()
+	}
+	return changes
+}
+
+// Mean returns the group's typical service time of the class, or 0 where it is not known.
+func (g *Group) Mean(now time.Time, class int) time.Duration {
+	m := g.mean(now, class)
+	if m == 0 {
+		return 0
+	}
+	return time.Duration(math.Exp(m)) * time.Microsecond
+}
+
+// Upstreams returns the upstreams that the node routes to, sorted by ID.
+func (g *Group) Upstreams() []Upstream {
+	out := make([]Upstream, 0, len(g.byID))
+	for _, e := range g.byID {
+		out = append(out, e.Upstream)
+	}
+	slices.SortFunc(out, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Out returns the upstreams that are not in service for some class.
+func (g *Group) Out() []string { return g.detector.Out() }
--- /dev/null
+++ b/setting/setting.go
@@ -0,0 +1,188 @@
+package setting
+
+import (
+	stderrors "errors"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/agnivade/levenshtein"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Problem is one fault in a settings file.
+type Problem struct {
+	file string
+	line int
+	key  string
+	text string
+}
+
+// NewProblem returns a fault of one key that was found after decoding.
+func NewProblem(key, format string, args ...any) Problem {
+	return Problem{key: key, text: fmt.Sprintf(format, args...)}
+}
+
+// Key returns the dotted name of the key at fault.
+func (p Problem) Key() string { return p.key }
+
+// Line returns the line of the fault, counted from 1, or 0 where no line is known.
+func (p Problem) Line() int { return p.line }
+
+// String formats the fault as file:line: key: text.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.file != "" {
+		b.WriteString(p.file)
+		b.WriteByte(':')
+	}
+	if p.line > 0 {
+		fmt.Fprintf(&b, "%d:", p.line)
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if p.key != "" {
+		b.WriteString(p.key)
+		b.WriteString(": ")
+	}
+	b.WriteString(p.text)
+	return b.String()
+}
+
+// Error holds all faults of one file.
+type Error struct {
+	problems []Problem
+}
+
+// Problems returns the faults in the order of the file.
+func (e *Error) Problems() []Problem { return e.problems }
+
+// Error implements error with one line for each fault.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.problems))
+	for i, p := range e.problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Checker is implemented by settings that can check their own values.
+type Checker interface {
+	// Check returns all faults of the values, or nil.
+	Check() []Problem
+}
+
+// Load reads the named file into dst and checks it; the error is an *Error for faults of content.
+func Load(file string, dst any) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	return Decode(file, data, dst)
+}
+
+// Decode parses data into dst, refuses unknown keys and runs the Check method of dst if it has one.
+func Decode(file string, data []byte, dst any) error {
+	dec := toml.NewDecoder(strings.NewReader(string(data)))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(dst); err != nil {
+		return decodeError(file, err, dst)
+	}
+	c, ok := dst.(Checker)
+	if !ok {
+		return nil
+	}
+	problems := c.Check()
+	if len(problems) == 0 {
+		return nil
+	}
+	for i := range problems {
+		problems[i].file = file
+		problems[i].line = findLine(data, problems[i].key)
+	}
+	return &Error{problems: problems}
+}
+
+func decodeError(file string, err error, dst any) error {
+	var strict *toml.StrictMissingError
+	if stderrors.As(err, &strict) {
+		return strictError(file, strict, dst)
+	}
+	var bad *toml.DecodeError
+	if stderrors.As(err, &bad) {
+		row, _ := bad.Position()
+		key := strings.Join(bad.Key(), ".")
+		return &Error{problems: []Problem{{file: file, line: row, key: key, text: bad.Error()}}}
+	}
+	return &Error{problems: []Problem{{file: file, text: err.Error()}}}
+}
+
+func strictError(file string, strict *toml.StrictMissingError, dst any) error {
+	known := names(reflect.TypeOf(dst), nil)
+	out := &Error{}
+	for i := range strict.Errors {
+		e := &strict.Errors[i]
+		row, _ := e.Position()
+		key := e.Key()
+		text := "unknown key"
+		if len(key) > 0 {
+			if near := nearest(key[len(key)-1], known); near != "" {
+				text = fmt.Sprintf("unknown key, nearest known name is %q", near)
+			}
+		}
+		p := Problem{file: file, line: row, key: strings.Join(key, "."), text: text}
+		out.problems = append(out.problems, p)
+	}
+	return out
+}
+
+func names(t reflect.Type, seen map[reflect.Type]bool) []string {
+	if seen == nil {
+		seen = make(map[reflect.Type]bool)
+	}
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || seen[t] {
+		return nil
+	}
+	seen[t] = true
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		tag, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+		if tag != "" && tag != "-" {
+			out = append(out, tag)
+		}
+		out = append(out, names(f.Type, seen)...)
+	}
+	return out
+}
+
+func nearest(key string, known []string) string {
+	best, dist := "", len(key)/2+1
+	for _, k := range known {
+		if d := levenshtein.ComputeDistance(key, k); d < dist {
+			best, dist = k, d
+		}
+	}
+	return best
+}
+
+// findLine returns the first line that assigns the last part of the dotted key.
+func findLine(data []byte, key string) int {
+	last := key[strings.LastIndexByte(key, '.')+1:]
+	if last == "" {
+		return 0
+	}
+	for i, line := range strings.Split(string(data), "\n") {
+		name, _, ok := strings.Cut(line, "=")
+		if ok && strings.TrimSpace(name) == last {
+			return i + 1
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/upstream/announcer.go
@@ -0,0 +1,59 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Announcer announces an upstream to the node beside it, as a server would.
+type Announcer struct {
+	base string
+	http *http.Client
+}
+
+// NewAnnouncer returns an announcer to the node whose upstream address is addr.
+func NewAnnouncer(addr string) *Announcer {
+	return &Announcer{base: "http://" + addr + "/v1/upstreams/", http: &http.Client{Timeout: RenewInterval}}
+}
+
+// Announce sends one announcement and returns the node's receipt.
+func (n *Announcer) Announce(ctx context.Context, a Announcement) (Receipt, error) {
+	var rec Receipt
+	body, err := json.Marshal(a)
+	if err != nil {
+		return rec, errors.Wrap(err, "announce")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, n.base+a.ID, bytes.NewReader(body))
+	if err != nil {
+		return rec, errors.Wrap(err, "announce")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := n.http.Do(req)
+	if err != nil {
+		return rec, errors.Wrap(err, "announce")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 1<<10))
+		return rec, errors.Errorf("announce: status %d: %s", resp.StatusCode, text)
+	}
+	return rec, errors.Wrap(json.NewDecoder(resp.Body).Decode(&rec), "announce")
+}
+
+// Run renews the announcement that current returns until ctx ends.
+func (n *Announcer) Run(ctx context.Context, current func() Announcement) {
+	for {
+		_, _ = n.Announce(ctx, current()) // the next renewal repeats it
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(RenewInterval):
+		}
+	}
+}
