Gray detection from evidence on all classes, scaled by the group's usual time

A server's evidence was split by class, and each node sees few answers of each class; a slow server also answers late. Change: requests carry the group's usual time for their class, the gate scales its samples by it into one figure for the server, work that still runs counts as if it ended now, samples weigh 1/10. Hedges start at 3 times the usual time and need spare capacity.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -345,18 +345,11 @@
 	return first
 }
 
-// Oldest returns the start of the oldest running work of the class and how much of it runs.
-func (c *Controller) Oldest(index int) (start time.Time, n int) {
-	for _, r := range c.running {
-		if r.class != index {
-			continue
-		}
-		n++
-		if start.IsZero() || r.start.Before(start) {
-			start = r.start
-		}
+// Each calls f for all running work with its class and start.
+func (c *Controller) Each(f func(id uint64, class int, start time.Time)) {
+	for id, r := range c.running {
+		f(id, r.class, r.start)
 	}
-	return start, n
 }
 
 // Load returns the figures that ride on answers.
--- a/node/admin.go
+++ b/node/admin.go
@@ -114,7 +114,7 @@
 		for _, u := range l.group.Upstreams() {
 			o := operator.Upstream{ID: u.ID, Service: name, Ready: u.Ready, Tier: int(u.Tier)}
 			for i, class := range l.names {
-				if l.group.Detector().Status(u.ID, i) != outlier.Serving {
+				if l.group.Status(u.ID, i) != outlier.Serving {
 					o.Out = append(o.Out, class)
 				}
 			}
--- a/node/keys.go
+++ b/node/keys.go
@@ -97,7 +97,7 @@
 		if !j.body.Available() {
 			break
 		}
-		k.Attempt.Body = j.body.Open()
+		k.Body = j.body.Open()
 		ans, err := n.askOwner(ctx, name, k)
 		var path *peer.PathError
 		var e *outcome.Error
--- a/node/lane.go
+++ b/node/lane.go
@@ -85,12 +85,20 @@
 		ejected += len(l.group.Out())
 		l.mu.Unlock()
 		for _, c := range changes {
-			n.noteStanding(name, l.names[c.Class], c)
+			n.noteStanding(name, l.className(c.Class), c)
 		}
 	}
 	n.metrics.ejected.Set(float64(ejected))
 }
 
+// className returns the name of a class, or a star for all classes.
+func (l *lane) className(i int) string {
+	if i >= len(l.names) {
+		return "*"
+	}
+	return l.names[i]
+}
+
 func (n *Node) noteStanding(service, class string, c outlier.Change) {
 	kinds := map[outlier.Status]event.Kind{
 		outlier.Ejected: event.Eject, outlier.Trying: event.Trial, outlier.Serving: event.Restore,
--- a/node/serve.go
+++ b/node/serve.go
@@ -20,7 +20,7 @@
 // Parameters of attempts.
 const (
 	maxAttempts  = 4                      // attempts of one request, refused ones included
-	hedgeRatio   = 8                      // ratio to the group's mean after which a second attempt starts
+	hedgeRatio   = 3                      // ratio to the group's mean after which a second attempt starts
 	hedgeMin     = 60 * time.Millisecond  // least time before a second attempt starts
 	askAfter     = 500 * time.Millisecond // time after which the node of a silent upstream is asked for its state
 	askRatio     = 10                     // ratio to the group's mean after which it is asked
@@ -100,7 +100,7 @@
 }
 
 func (r *race) run(ctx context.Context) (*upstream.Answer, error) {
-	if err := r.launch(ctx); err != nil {
+	if err := r.launch(ctx, false); err != nil {
 		return nil, err
 	}
 	hedge := time.NewTimer(r.hedgeDelay())
@@ -112,7 +112,7 @@
 			if r.final(t) {
 				return r.finish(t)
 			}
-			if r.again(t) && r.launch(ctx) == nil {
+			if r.again(t) && r.launch(ctx, false) == nil {
 				continue
 			}
 			if r.pending == 0 {
@@ -120,7 +120,7 @@
 			}
 		case <-hedge.C:
 			if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.take() {
-				_ = r.launch(ctx) // the first attempt goes on alone
+				_ = r.launch(ctx, true) // the first attempt goes on alone
 			}
 		}
 	}
@@ -144,7 +144,7 @@
 }
 
 // launch starts one attempt at an upstream that was not tried.
-func (r *race) launch(ctx context.Context) error {
+func (r *race) launch(ctx context.Context, spare bool) error {
 	now := time.Now()
 	if !now.Before(r.job.deadline) {
 		return outcome.NewError(outcome.NotRun, outcome.CodeExpired, nil)
@@ -154,9 +154,11 @@
 		Exclude:    r.tried,
 		Far:        r.job.match.Class.Spill() && r.n.linkOpen(),
 		Idempotent: !r.job.once(),
+		Spare:      spare,
 	}
 	r.lane.mu.Lock()
 	choice, err := r.lane.group.Pick(now, q, r.lane.rnd)
+	usual := r.lane.group.Mean(now, r.class)
 	r.lane.mu.Unlock()
 	if err != nil {
 		return noUpstream(err)
@@ -166,6 +168,7 @@
 	actx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	a := r.attempt(len(r.tried))
+	a.Usual = usual
 	go func() {
 		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
 		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel}
@@ -368,7 +371,7 @@
 	var o routing.Observation
 	if ans != nil && ans.Load != "" {
 		if load, perr := upstream.ParseLoad(ans.Load); perr == nil {
-			o.Reported, o.Load, o.Evidence = true, load.Load, load.Evidence
+			o.Reported, o.Load, o.Evidence, o.Whole = true, load.Load, load.Class, load.Whole
 		}
 	}
 	var path *peer.PathError
@@ -406,7 +409,7 @@
 		l.group.Avoid(time.Now(), c.ID)
 		return
 	}
-	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Evidence, Reported: true})
+	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Class, Whole: load.Whole, Reported: true})
 }
 
 // Standing implements peer.Node.
--- a/outlier/sampler.go
+++ b/outlier/sampler.go
@@ -7,7 +7,7 @@
 
 // Weights of the moving figures.
 const (
-	sampleWeight = 1.0 / 20                // least weight of one sample in the mean
+	sampleWeight = 1.0 / 10                // least weight of one sample in the mean
 	meanDecay    = 1500 * time.Millisecond // time after which an old mean has lost its weight
 	countDecay   = 2 * time.Second         // time constant of the decayed counts
 )
@@ -57,7 +57,7 @@
 }
 
 func (s *Sampler) learn(took time.Duration, dt float64) {
-	x := math.Log(float64(max(1, took.Microseconds())))
+	x := logTime(took)
 	if s.mean == 0 {
 		s.mean = x
 		return
@@ -68,9 +68,36 @@
 	s.variance = (1 - w) * (s.variance + w*d*d)
 }
 
-// Report returns the evidence at now; oldest is the age of the oldest running work and n how much of it runs.
-func (s *Sampler) Report(now time.Time, oldest time.Duration, n int) Report {
+func logTime(d time.Duration) float64 { return math.Log(float64(max(1, d.Microseconds()))) }
+
+// scaleUnit is the service time to which times of different classes are scaled.
+const scaleUnit = 10 * time.Millisecond
+
+// Scale converts a service time into a comparable one for all classes, where unit is the time that the class usually takes; a unit of 0 leaves it as it is.
+func Scale(took, unit time.Duration) time.Duration {
+	if unit <= 0 {
+		return took
+	}
+	return time.Duration(float64(took) / float64(unit) * float64(scaleUnit))
+}
+
+// Running is work that has started and not ended.
+type Running struct {
+	Age  time.Duration // time since the start
+	Unit time.Duration // time that such work usually takes; 0 for work of one class
+}
+
+// Report returns the evidence at now; running work that is older than the mean counts as if it ended now.
+func (s *Sampler) Report(now time.Time, running []Running) Report {
 	r := Report{Mean: s.mean, Spread: math.Sqrt(s.variance), Fail: s.fail, Count: s.count, Seq: s.seq}
+	n := len(running)
+	var oldest time.Duration
+	for _, w := range running {
+		oldest = max(oldest, w.Age)
+		if x := logTime(Scale(w.Age, w.Unit)); r.Mean > 0 && x > r.Mean {
+			r.Mean += sampleWeight * (x - r.Mean)
+		}
+	}
 	if s.seq > 0 {
 		decay := math.Exp(-now.Sub(s.last).Seconds() / countDecay.Seconds())
 		r.Fail *= decay
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -23,6 +23,7 @@
 	hopDeadline = "Hop-Deadline" // microseconds since 1970 by the sender's clock
 	hopTimeout  = "Hop-Timeout"  // microseconds left when it was sent
 	hopOnce     = "Hop-Once"
+	hopUsual    = "Hop-Usual" // microseconds that the class usually takes
 	hopLoad     = "Hop-Load"
 	hopOutcome  = "Hop-Outcome"
 	hopCode     = "Hop-Code"
@@ -149,6 +150,9 @@
 	if a.Once {
 		req.Header.Set(hopOnce, "1")
 	}
+	if a.Usual > 0 {
+		req.Header.Set(hopUsual, strconv.FormatInt(a.Usual.Microseconds(), 10))
+	}
 	return req, nil
 }
 
@@ -228,6 +232,10 @@
 	if limit := time.UnixMicro(abs).Add(maxSkew); limit.Before(deadline) {
 		deadline = limit // the sender was paused between reading the clock and sending
 	}
+	usual, err := strconv.ParseInt(h.Get(hopUsual), 10, 64)
+	if err != nil || usual < 0 {
+		usual = 0 // the sender does not know it
+	}
 	return &upstream.Attempt{
 		ID:       h.Get(hopAttempt),
 		Class:    h.Get(hopClass),
@@ -239,6 +247,7 @@
 		Body:     req.Body,
 		Length:   req.ContentLength,
 		Once:     h.Get(hopOnce) != "",
+		Usual:    time.Duration(usual) * time.Microsecond,
 	}, nil
 }
 
--- a/routing/group.go
+++ b/routing/group.go
@@ -86,14 +86,16 @@
 	Exclude    []string // upstreams that earlier attempts used
 	Far        bool     // another region may be used
 	Idempotent bool
+	Spare      bool // only an upstream with capacity to spare will do
 }
 
 // Observation is what one attempt showed.
 type Observation struct {
 	Load     admission.Load
-	Reported bool // an answer with load and evidence arrived
-	Evidence outlier.Report
-	PathLost bool // the node of the upstream could not be reached or did not answer
+	Reported bool           // an answer with load and evidence arrived
+	Evidence outlier.Report // on the class of the attempt
+	Whole    outlier.Report // on all classes
+	PathLost bool           // the node of the upstream could not be reached or did not answer
 }
 
 type endpoint struct {
@@ -130,7 +132,7 @@
 		service:  service,
 		self:     self,
 		classes:  classes,
-		detector: outlier.NewDetector(floor, classes),
+		detector: outlier.NewDetector(floor, classes+1),
 		byID:     make(map[string]*endpoint),
 		means:    make([]float64, classes),
 	}
@@ -141,8 +143,8 @@
 // SetFloor changes the share of upstreams that ejection leaves in service.
 func (g *Group) SetFloor(floor float64) { g.detector.SetFloor(floor) }
 
-// Detector returns the detector of the group.
-func (g *Group) Detector() *outlier.Detector { return g.detector }
+// InService returns how many upstreams the node can reach and has not ejected.
+func (g *Group) InService() int { return g.detector.InService() }
 
 // Update replaces the upstreams of the service by those known from membership.
 func (g *Group) Update(now time.Time, list []Upstream) {
@@ -224,7 +226,7 @@
 			continue
 		}
 		for c := range g.classes {
-			switch g.detector.Status(id, c) {
+			switch g.status(id, c) {
 			case outlier.Serving:
 				g.eligible[c][e.Tier] = append(g.eligible[c][e.Tier], e)
 			case outlier.Trying:
@@ -234,6 +236,21 @@
 	}
 }
 
+// status is the worse of the standings for one class and for all.
+func (g *Group) status(id string, class int) outlier.Status {
+	own, all := g.detector.Status(id, class), g.detector.Status(id, g.classes)
+	if own == outlier.Serving {
+		return all
+	}
+	if all == outlier.Serving || own == outlier.Ejected {
+		return own
+	}
+	return all
+}
+
+// Status returns the standing of the upstream for the class.
+func (g *Group) Status(id string, class int) outlier.Status { return g.status(id, class) }
+
 // Pick chooses the upstream for one attempt and counts it as running; the error is an *Error.
 func (g *Group) Pick(now time.Time, q Query, rnd *rand.Rand) (Choice, error) {
 	if e := g.trial(now, q, rnd); e != nil {
@@ -257,9 +274,9 @@
 			break
 		}
 	}
-	if best == nil {
+	if best == nil || q.Spare && score > spillLoad {
 		reason := NoUpstream
-		if refused {
+		if refused || best != nil {
 			reason = Busy
 		}
 		return Choice{}, &Error{service: g.service, reason: reason}
@@ -383,6 +400,7 @@
 	e.limit = o.Load.Limit
 	e.refusing, e.refusedAt = o.Load.Refusing, now
 	g.detector.Report(now, id, class, o.Evidence)
+	g.detector.Report(now, id, g.classes, o.Whole)
 }
 
 // Avoid routes around the node of the upstream because the path to it is lost.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -49,8 +49,9 @@
 	Host     string
 	Header   http.Header
 	Body     io.Reader
-	Length   int64 // bytes of the body, or -1
-	Once     bool  // the work must not run twice
+	Length   int64         // bytes of the body, or -1
+	Once     bool          // the work must not run twice
+	Usual    time.Duration // time that the class usually takes in its group, or 0
 }
 
 // Answer is a whole answer, or the head of one that is streamed.
@@ -71,6 +72,8 @@
 	expires  time.Time
 	classes  map[string]int
 	samplers []outlier.Sampler
+	whole    outlier.Sampler
+	usual    map[uint64]time.Duration // of running work
 	ctl      *admission.Controller
 	waiting  map[uint64]chan admission.Verdict
 	nextID   uint64
@@ -80,7 +83,7 @@
 
 // NewGate returns the gate of an announced upstream.
 func NewGate(a Announcement, classes []admission.Class, now time.Time) *Gate {
-	g := &Gate{waiting: make(map[uint64]chan admission.Verdict), ctl: admission.New(a.Slots, nil)}
+	g := &Gate{waiting: make(map[uint64]chan admission.Verdict), usual: make(map[uint64]time.Duration), ctl: admission.New(a.Slots, nil)}
 	conns := a.Connections
 	if conns == 0 {
 		conns = defaultConns
@@ -175,12 +178,18 @@
 	if !ok {
 		return l
 	}
-	start, n := g.ctl.Oldest(i)
-	var age time.Duration
-	if n > 0 {
-		age = now.Sub(start)
-	}
-	l.Evidence = g.samplers[i].Report(now, age, n)
+	var own, all []outlier.Running
+	g.ctl.Each(func(id uint64, class int, start time.Time) {
+		w := outlier.Running{Age: now.Sub(start)}
+		if class == i {
+			own = append(own, w)
+		}
+		if w.Unit = g.usual[id]; w.Unit > 0 {
+			all = append(all, w)
+		}
+	})
+	l.Class = g.samplers[i].Report(now, own)
+	l.Whole = g.whole.Report(now, all)
 	return l
 }
 
@@ -274,20 +283,20 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.usual, id)
 	g.deliver(g.ctl.Done(now, id, admission.Result{Shed: r == shed, Failed: r != well}))
 	i, ok := g.classes[a.Class]
 	if !ok || g.spec.State == Warming {
 		return
 	}
-	switch r {
-	case well:
-		g.samplers[i].Add(now, now.Sub(start), false)
-	case failed:
-		g.samplers[i].Add(now, now.Sub(start), true)
-	case late:
-		if took := now.Sub(start); took > longTimeout || took > slowTimeout*g.samplers[i].Mean() {
-			g.samplers[i].Add(now, took, true)
-		}
+	took := now.Sub(start)
+	bad := r == failed || r == late && (took > longTimeout || took > slowTimeout*g.samplers[i].Mean())
+	if r != well && !bad {
+		return
+	}
+	g.samplers[i].Add(now, took, bad)
+	if a.Usual > 0 {
+		g.whole.Add(now, outlier.Scale(took, a.Usual), bad)
 	}
 }
 
@@ -312,6 +321,9 @@
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err)
 	}
 	g.started.Add(1)
+	g.mu.Lock()
+	g.usual[id] = a.Usual
+	g.mu.Unlock()
 	resp, err := g.client.RoundTrip(req)
 	if err != nil {
 		g.done(a, id, start, classify(ctx))
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jasminevane/jasminevane/admission"
@@ -9,10 +11,11 @@
 	"github.com/pkg/errors"
 )
 
-// Load is the state of an upstream, with the evidence on one class, that rides on answers.
+// Load is the state of an upstream, with the evidence on one class and on all, that rides on answers.
 type Load struct {
-	Load     admission.Load
-	Evidence outlier.Report
+	Load  admission.Load
+	Class outlier.Report
+	Whole outlier.Report // service times are scaled by what each class usually takes
 }
 
 // milli is the scale of the fractions in the text form.
@@ -20,27 +23,53 @@
 
 // String returns the text form that ParseLoad reads.
 func (l Load) String() string {
-	e := l.Evidence
-	return fmt.Sprintf("%d,%d,%d,%x,%d,%d,%d,%d,%d,%d",
-		l.Load.Running, l.Load.Queued, l.Load.Limit, l.Load.Refusing,
-		int(e.Mean*milli), int(e.Spread*milli), int(e.Fail*milli), int(e.Count*milli), e.Seq, e.Stuck.Milliseconds())
+	return fmt.Sprintf("%d,%d,%d,%x,%s,%s", l.Load.Running, l.Load.Queued, l.Load.Limit, l.Load.Refusing,
+		formatReport(l.Class), formatReport(l.Whole))
 }
 
+func formatReport(r outlier.Report) string {
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d", int(r.Mean*milli), int(r.Spread*milli), int(r.Fail*milli), int(r.Count*milli), r.Seq, r.Stuck.Milliseconds())
+}
+
+// Fields of the text form.
+const (
+	loadFields   = 4
+	reportFields = 6
+)
+
 // ParseLoad parses the text form of a load.
 func ParseLoad(text string) (Load, error) {
-	var l Load
-	var mean, spread, fail, count int
-	var stuck int64
-	_, err := fmt.Sscanf(text, "%d,%d,%d,%x,%d,%d,%d,%d,%d,%d",
-		&l.Load.Running, &l.Load.Queued, &l.Load.Limit, &l.Load.Refusing,
-		&mean, &spread, &fail, &count, &l.Evidence.Seq, &stuck)
-	if err != nil {
-		return Load{}, errors.Wrapf(err, "load %q", text)
+	fields := strings.Split(text, ",")
+	if len(fields) != loadFields+2*reportFields {
+		return Load{}, errors.Errorf("load %q has %d fields", text, len(fields))
 	}
-	l.Evidence.Mean = float64(mean) / milli
-	l.Evidence.Spread = float64(spread) / milli
-	l.Evidence.Fail = float64(fail) / milli
-	l.Evidence.Count = float64(count) / milli
-	l.Evidence.Stuck = time.Duration(stuck) * time.Millisecond
+	var v [loadFields + 2*reportFields]int64
+	for i, f := range fields {
+		base := 10
+		if i == loadFields-1 {
+			base = 16
+		}
+		n, err := strconv.ParseInt(f, base, 64)
+		if err != nil || n < 0 {
+			return Load{}, errors.Errorf("load %q: bad field %d", text, i)
+		}
+		v[i] = n
+	}
+	var l Load
+	l.Load.Running, l.Load.Queued, l.Load.Limit = int(v[0]), int(v[1]), int(v[2])
+	l.Load.Refusing = uint32(v[3])
+	l.Class = parseReport(v[loadFields:])
+	l.Whole = parseReport(v[loadFields+reportFields:])
 	return l, nil
 }
+
+func parseReport(v []int64) outlier.Report {
+	return outlier.Report{
+		Mean:   float64(v[0]) / milli,
+		Spread: float64(v[1]) / milli,
+		Fail:   float64(v[2]) / milli,
+		Count:  float64(v[3]) / milli,
+		Seq:    uint64(v[4]),
+		Stuck:  time.Duration(v[5]) * time.Millisecond,
+	}
+}
