Suspicion of the gate travels with its node's record

Change: the gate marks its upstream as suspect in the membership record; nodes that route to it ask for the evidence and judge by it as before. A suspicion ejects nothing by itself.

--- a/membership/member.go
+++ b/membership/member.go
@@ -52,6 +52,7 @@
 	Service string
 	Slots   int
 	State   State
+	Suspect bool // its node sees signs of sickness
 }
 
 // Member is the record of one node, which only that node writes, but for Dead.
--- a/node/gates.go
+++ b/node/gates.go
@@ -23,6 +23,8 @@
 	mu   sync.Mutex
 	byID map[string]*upstream.Gate
 	stop map[string]context.CancelFunc
+
+	suspect map[*upstream.Gate]bool // as last announced; used by the sweep alone
 }
 
 func (s *gateSet) get(id string) *upstream.Gate {
@@ -62,10 +64,12 @@
 		upstream.Ready:    membership.Ready,
 		upstream.Draining: membership.Draining,
 	}
+	now := time.Now()
 	var out []membership.Upstream
 	for _, g := range s.all() {
 		a := g.Spec()
-		out = append(out, membership.Upstream{ID: a.ID, Service: a.Service, Slots: a.Slots, State: states[a.State]})
+		u := membership.Upstream{ID: a.ID, Service: a.Service, Slots: a.Slots, State: states[a.State], Suspect: g.Suspect(now)}
+		out = append(out, u)
 	}
 	slices.SortFunc(out, func(a, b membership.Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	return out
@@ -139,15 +143,23 @@
 	n.carryOut(out)
 }
 
-// sweepGates withdraws upstreams that stopped renewing their announcement.
+// sweepGates withdraws upstreams that stopped renewing their announcement and announces suspicions.
 func (n *Node) sweepGates(ctx context.Context, now time.Time) {
 	if ctx.Err() != nil {
 		return
 	}
+	changed := false
 	for _, g := range n.gates.all() {
 		if g.Expired(now) {
 			n.Withdraw(g.Spec().ID)
+			continue
 		}
+		suspect := g.Suspect(now)
+		changed = changed || suspect != n.gates.suspect[g]
+		n.gates.suspect[g] = suspect
+	}
+	if changed {
+		n.announce()
 	}
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/outlier"
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
 	"github.com/jasminevane/jasminevane/routing"
@@ -17,6 +19,8 @@
 	beatTimeout  = 500 * time.Millisecond
 	syncTimeout  = 3 * time.Second // time for an exchange that carries many records
 	probeTimeout = 400 * time.Millisecond
+	lookTimes    = 6
+	lookEvery    = 120 * time.Millisecond
 )
 
 // fleetView is what requests need to know of the members.
@@ -161,6 +165,40 @@
 	n.mu.Unlock()
 	n.metrics.members.Set(float64(len(v.live)))
 	n.updateLanes(v)
+	for _, c := range changes {
+		n.lookAtSuspects(c)
+	}
+}
+
+// lookAtSuspects asks for the evidence on upstreams that their node has begun to suspect.
+func (n *Node) lookAtSuspects(c membership.Change) {
+	if c.New.Name == n.cfg.Name || c.New.Status != membership.Alive {
+		return
+	}
+	for _, u := range c.New.Upstreams {
+		was := slices.ContainsFunc(c.Old.Upstreams, func(o membership.Upstream) bool { return o.ID == u.ID && o.Suspect })
+		l := (*n.lanes.Load())[u.Service]
+		if u.Suspect && !was && l != nil {
+			choice := routing.Choice{ID: c.New.Name + "/" + u.ID, Node: c.New.Name}
+			n.spawn(func() { n.look(l, choice) })
+		}
+	}
+}
+
+// look asks for the evidence on one upstream until it is judged.
+func (n *Node) look(l *lane, c routing.Choice) {
+	for range lookTimes {
+		if n.ask(l, 0, c, l.names[0]) != nil {
+			return
+		}
+		time.Sleep(lookEvery)
+		l.mu.Lock()
+		out := l.group.Status(c.ID, 0) != outlier.Serving
+		l.mu.Unlock()
+		if out || n.stop.Load() {
+			return
+		}
+	}
 }
 
 func (n *Node) noteMember(c membership.Change) {
--- a/node/run.go
+++ b/node/run.go
@@ -16,7 +16,7 @@
 const (
 	tickEvery     = 50 * time.Millisecond
 	evaluateEvery = 100 * time.Millisecond
-	sweepEvery    = 200 * time.Millisecond
+	sweepEvery    = 100 * time.Millisecond
 	adminTimeout  = 30 * time.Second // time to write an answer of the admin port
 	idleTimeout   = 2 * time.Minute
 	handoverWait  = 3 * time.Second // time to hand over the shards at a stop
--- a/node/serve.go
+++ b/node/serve.go
@@ -389,14 +389,15 @@
 	l.mu.Lock()
 	after := max(askAfter, askRatio*l.group.Mean(time.Now(), class))
 	l.mu.Unlock()
-	t := time.AfterFunc(after, func() { n.ask(l, class, c, name) })
+	t := time.AfterFunc(after, func() { _ = n.ask(l, class, c, name) })
 	return func() { t.Stop() }
 }
 
-func (n *Node) ask(l *lane, class int, c routing.Choice, name string) {
+// ask takes the state of an upstream from its node; where the node does not answer the path to it is avoided.
+func (n *Node) ask(l *lane, class int, c routing.Choice, name string) error {
 	m, ok := n.view.Load().byName[c.Node]
 	if !ok {
-		return
+		return errors.Errorf("node %s is gone", c.Node)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
@@ -407,9 +408,10 @@
 	l.active = true
 	if err != nil || perr != nil {
 		l.group.Avoid(time.Now(), c.ID)
-		return
+		return errors.Errorf("node %s does not answer", c.Node)
 	}
 	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Class, Whole: load.Whole, Reported: true})
+	return nil
 }
 
 // Standing implements peer.Node.
--- a/outlier/sampler.go
+++ b/outlier/sampler.go
@@ -81,6 +81,20 @@
 	return time.Duration(float64(took) / float64(unit) * float64(scaleUnit))
 }
 
+// Thresholds of suspicion, which only makes others look at the evidence.
+const (
+	suspectRatio = 1.7
+	suspectFail  = 0.05
+)
+
+// Suspect reports whether scaled evidence shows signs of sickness.
+func (r Report) Suspect() bool {
+	if r.Stuck > stuckAge || r.Fail >= minFailures && r.Failure() > suspectFail {
+		return true
+	}
+	return r.Seq >= minSamples && r.Mean-logTime(scaleUnit) > math.Log(suspectRatio)
+}
+
 // Running is work that has started and not ended.
 type Running struct {
 	Age  time.Duration // time since the start
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -87,6 +87,7 @@
 			Service: u.Service,
 			Slots:   uint32(u.Slots),
 			State:   peerv1.State(u.State),
+			Suspect: u.Suspect,
 		})
 	}
 	return p
@@ -108,6 +109,7 @@
 			Service: u.GetService(),
 			Slots:   int(u.GetSlots()),
 			State:   membership.State(u.GetState()),
+			Suspect: u.GetSuspect(),
 		})
 	}
 	return m
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -67,18 +67,19 @@
 
 // Gate admits all work for one upstream.
 type Gate struct {
-	mu       sync.Mutex
-	spec     Announcement
-	expires  time.Time
-	classes  map[string]int
-	samplers []outlier.Sampler
-	whole    outlier.Sampler
-	usual    map[uint64]time.Duration // of running work
-	ctl      *admission.Controller
-	waiting  map[uint64]chan admission.Verdict
-	nextID   uint64
-	client   *http.Transport
-	started  atomic.Uint64
+	mu        sync.Mutex
+	spec      Announcement
+	expires   time.Time
+	classes   map[string]int
+	samplers  []outlier.Sampler
+	whole     outlier.Sampler
+	usual     map[uint64]time.Duration // of running work
+	suspected time.Time
+	ctl       *admission.Controller
+	waiting   map[uint64]chan admission.Verdict
+	nextID    uint64
+	client    *http.Transport
+	started   atomic.Uint64
 }
 
 // NewGate returns the gate of an announced upstream.
@@ -176,7 +177,7 @@
 	l := Load{Load: g.ctl.Load(now)}
 	i, ok := g.classes[class]
 	if !ok {
-		return l
+		i = -1
 	}
 	var own, all []outlier.Running
 	g.ctl.Each(func(id uint64, class int, start time.Time) {
@@ -188,11 +189,26 @@
 			all = append(all, w)
 		}
 	})
-	l.Class = g.samplers[i].Report(now, own)
+	if ok {
+		l.Class = g.samplers[i].Report(now, own)
+	}
 	l.Whole = g.whole.Report(now, all)
 	return l
 }
 
+// suspectHold is the time for which a suspicion is kept up, so that a flapping upstream causes little news.
+const suspectHold = 3 * time.Second
+
+// Suspect reports whether the upstream shows signs of sickness.
+func (g *Gate) Suspect(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.spec.State == Ready && g.load(now, "").Whole.Suspect() {
+		g.suspected = now
+	}
+	return !g.suspected.IsZero() && now.Sub(g.suspected) < suspectHold
+}
+
 // Tick refuses queued work whose deadline has passed.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
