Owners are found while the log is away; evidence is judged against renewed peers

Change: the two next ranks are asked as well; the last judgement compares only with reports renewed since the evidence began; leases of 2 s instead of 3 s; lab callers repeat what was not run.

--- a/caller/request.go
+++ b/caller/request.go
@@ -16,7 +16,7 @@
 	CallerHeader  = "Caller"              // name of the caller
 	TimeoutHeader = "Request-Timeout"     // milliseconds that the caller waits
 	KeyHeader     = "Idempotency-Key"     // names a request so that a repeat does not run again
-	TryHeader     = "Idempotency-Attempt" // 1 says that no earlier request with the key was sent
+	TryHeader     = "Idempotency-Attempt" // 1 says that no earlier request with the key was sent, or that all were answered as not run
 	RequestHeader = "Request-Id"          // names one request in logs and in the time line
 )
 
--- a/jasminelab/fleet/fleet.go
+++ b/jasminelab/fleet/fleet.go
@@ -391,3 +391,29 @@
 	}
 	return f, f.Ready(ctx, 1)
 }
+
+// Forwarder starts a bare forwarder to the server at addr as a process and returns its address.
+func Forwarder(addr string) (string, func(), error) {
+	self, err := os.Executable()
+	if err != nil {
+		return "", nil, err
+	}
+	cmd := exec.Command(self, "forward", "--to", addr)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return "", nil, err
+	}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return "", nil, errors.Wrap(err, "start forwarder")
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		return "", nil, errors.Wrap(err, "forwarder")
+	}
+	stop := func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	}
+	return strings.TrimSpace(line), stop, nil
+}
--- a/jasminelab/main.go
+++ b/jasminelab/main.go
@@ -21,7 +21,7 @@
 		Name:  "jasminelab",
 		Usage: "stand-ins, load and experiments",
 		Commands: []*cli.Command{
-			runCommand(), demoCommand(), nodeCommand(),
+			runCommand(), demoCommand(), logCommand(), upstreamCommand(), nodeCommand(), forwardCommand(),
 		},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
--- a/outlier/detector.go
+++ b/outlier/detector.go
@@ -22,7 +22,7 @@
 	stuckAge     = 500 * time.Millisecond  // 200 ms ejected upstreams during ordinary pauses
 	stuckRatio   = 10                      // ratio of the oldest age to the group's mean
 	ownRenewal   = 3                       // samples of the upstream after the evidence began
-	peerRenewal  = 8                       // samples of the others after the evidence began
+	peerRenewal  = 12                      // samples of the others after the evidence began
 	persist      = 200 * time.Millisecond  // span over which the evidence must last
 	reportAge    = 5 * time.Second         // age after which a report is no evidence
 	firstBackoff = 1500 * time.Millisecond // time out of service after the first ejection
@@ -192,12 +192,19 @@
 func (d *Detector) GroupMean(now time.Time, class int) float64 { return d.group(now, class).mean }
 
 func (d *Detector) group(now time.Time, class int) group {
-	var means, spreads, fails []float64
+	var list []*standing
 	for _, id := range d.ids {
 		s := &d.members[id].classes[class]
-		if s.at.IsZero() || now.Sub(s.at) > reportAge || s.report.Seq < minSamples {
-			continue
+		if !s.at.IsZero() && now.Sub(s.at) <= reportAge && s.report.Seq >= minSamples {
+			list = append(list, s)
 		}
+	}
+	return groupOf(list)
+}
+
+func groupOf(list []*standing) group {
+	var means, spreads, fails []float64
+	for _, s := range list {
 		fails = append(fails, s.report.Failure())
 		if s.report.Mean > 0 {
 			means = append(means, s.report.Mean)
@@ -303,7 +310,8 @@
 	if now.Sub(s.badSince) < persist || s.report.Seq < s.badSeq+ownRenewal {
 		return false
 	}
-	known, renewed := 0, 0
+	known := 0
+	var renewed []*standing
 	for _, id := range d.ids {
 		p := &d.members[id].classes[class]
 		if p == s || p.at.IsZero() || p.status != Serving || now.Sub(p.at) > reportAge {
@@ -311,10 +319,14 @@
 		}
 		known++
 		if p.report.Seq >= s.peerSeq[id]+peerRenewal {
-			renewed++
+			renewed = append(renewed, p)
 		}
 	}
-	return 2*renewed >= known
+	if 2*len(renewed) < known {
+		return false
+	}
+	g := groupOf(append(renewed, s))
+	return judge(now, s, g).bad > 0
 }
 
 // returns moves upstreams from ejection to trial and from trial to service or back.
--- a/ownership/engine.go
+++ b/ownership/engine.go
@@ -85,6 +85,7 @@
 	table    *Table
 	nodes    map[string]Node
 	desired  []string
+	others   [Shards][fallbacks]string // the next best after desired
 	desireAt time.Time
 	since    [Shards]time.Time // since when desired is what it is
 	stale    bool
@@ -174,8 +175,11 @@
 	if n, ok := e.nodes[row.Owner.Name]; ok && n.Incarnation == row.Owner.Incarnation {
 		out = append(out, n.Name)
 	}
-	if d := e.desired[shard]; d != "" && !slices.Contains(out, d) {
-		out = append(out, d)
+	// While the log is away a shard may be with a node that was the best one when its owner left.
+	for _, d := range append([]string{e.desired[shard]}, e.others[shard][:]...) {
+		if d != "" && !slices.Contains(out, d) {
+			out = append(out, d)
+		}
 	}
 	return out
 }
@@ -284,18 +288,33 @@
 		hashes[i] = xxhash.Sum64String(name)
 	}
 	for s := range Shards {
-		best, score := "", uint64(0)
-		for i, h := range hashes {
-			if w := weight(s, h); w > score {
-				best, score = names[i], w
-			}
-		}
+		best := e.rankNodes(s, names, hashes)
 		if e.desired[s] != best {
 			e.desired[s], e.since[s] = best, now
 		}
 	}
 }
 
+// fallbacks is the number of nodes after the best that are asked for a shard.
+const fallbacks = 2
+
+// rankNodes notes the nodes that rank next for the shard and returns the best.
+func (e *Engine) rankNodes(s int, names []string, hashes []uint64) string {
+	var top [1 + fallbacks]string
+	var score [1 + fallbacks]uint64
+	for i, h := range hashes {
+		name, w := names[i], weight(s, h)
+		for k := range top {
+			if w > score[k] {
+				name, top[k] = top[k], name
+				w, score[k] = score[k], w
+			}
+		}
+	}
+	copy(e.others[s][:], top[1:])
+	return top[0]
+}
+
 // renew asks the witnesses of all shards to vouch.
 func (e *Engine) renew(now time.Time) {
 	if now.Sub(e.renewed) < renewEvery {
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -104,13 +104,13 @@
 
 // Timing of leases.
 const (
-	LeaseTime   = 3 * time.Second        // time for which a lease holds after the request that renewed it
-	renewEvery  = time.Second            // interval between renewals
-	driftMargin = 500 * time.Millisecond // allowance for clocks that run at different speeds
-	settleTime  = 1500 * time.Millisecond
-	moveAfter   = 4 * time.Second // time for which a better owner must stay the same before a shard moves to it
-	retryEvery  = time.Second     // interval between attempts of claims, fences and handovers
-	maxMove     = 128             // shards in one handover
+	LeaseTime   = 2 * time.Second        // time for which a lease holds after the request that renewed it
+	renewEvery  = 700 * time.Millisecond // interval between renewals
+	driftMargin = 300 * time.Millisecond // allowance for clocks that run at different speeds
+	settleTime  = time.Second            // time for which a view must stand before a shard is claimed
+	moveAfter   = 4 * time.Second        // time for which a better owner must stay the same before a shard moves to it
+	retryEvery  = time.Second            // interval between attempts of claims, fences and handovers
+	maxMove     = 128                    // shards in one handover
 	witnesses   = 3
 )
 
