--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,10 @@
 # Needs buf, protoc-gen-go and protoc-gen-connect-go on the path; the output is committed.
 generate:
 	buf generate
+
+# Measures the slopes of docs/CAPACITY.md and draws its plots.
+capacity:
+	mkdir -p docs/capacity
+	go run ./jasminelab run control --nodes 10,30,100 > docs/capacity/control.jsonl || true
+	go test ./admission ./outlier ./routing ./bundle ./membership -run '^$$' -bench . -benchmem > docs/capacity/bench.txt
+	for f in bytes cpu memory; do go run ./jasminelab plot docs/capacity/control.jsonl $$f docs/capacity/$$f.svg || exit 1; done
--- a/jasmined/main.go
+++ b/jasmined/main.go
@@ -38,6 +38,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	node.LimitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(os.Stderr, cfg)})
--- a/jasminelab/experiment/cost.go
+++ b/jasminelab/experiment/cost.go
@@ -81,6 +81,13 @@
 	base := load.Find(list, v.Name+"/direct")
 	r.note("path.direct.p50", millis(base.P50), "ms")
 	r.note("path.direct.p99", millis(base.P99), "ms")
+	var all []load.Record
+	for _, rec := range between(withoutDirect(g.Records()), from, to) {
+		if rec.Stream.Service.Name == v.Name {
+			all = append(all, rec)
+		}
+	}
+	r.atMost("path.added.p99", millis(p99(all)-base.P99), "ms", pathBound)
 	for _, c := range v.Classes {
 		s := load.Find(list, v.Name+"/"+c.Name)
 		r.note("path."+c.Name+".added.p50", millis(s.P50-base.P50), "ms")
--- a/jasminelab/main.go
+++ b/jasminelab/main.go
@@ -21,7 +21,7 @@
 		Name:  "jasminelab",
 		Usage: "stand-ins, load and experiments",
 		Commands: []*cli.Command{
-			runCommand(), demoCommand(), logCommand(), upstreamCommand(), nodeCommand(), forwardCommand(),
+			runCommand(), demoCommand(), logCommand(), upstreamCommand(), plotCommand(), nodeCommand(), forwardCommand(),
 		},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
@@ -46,6 +46,7 @@
 			if err != nil {
 				return err
 			}
+			node.LimitMemory()
 			opt := node.Options{Logger: node.NewLogger(os.Stderr, cfg)}
 			if addr := cmd.String("link"); addr != "" {
 				opt.Dial = link.Dialer(addr, cfg.Name)
--- a/node/keys.go
+++ b/node/keys.go
@@ -120,9 +120,11 @@
 		return n.Keyed(ctx, k)
 	}
 	m, ok := n.view.Load().byName[name]
-	if !ok || m.Status == membership.Dead || m.Status == membership.Left {
+	if !ok || m.Status == membership.Dead || m.Status == membership.Left || n.silent.has(name) {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeKeyOwner, nil)
 	}
+	doubt := time.AfterFunc(doubtAfter, func() { n.doubt(name, m.Address) })
+	defer doubt.Stop()
 	return n.client.ForwardKey(ctx, m.Address, k)
 }
 
--- a/node/logs.go
+++ b/node/logs.go
@@ -22,7 +22,8 @@
 	wantInterval = time.Second            // interval at which a node reads that wants to claim a shard
 	retryLog     = 500 * time.Millisecond // least time after a failed reading
 	maxRetryLog  = 5 * time.Second
-	fetchTimeout = 5 * time.Second
+	fetchTimeout = 20 * time.Second // a whole state over the link between regions
+	maxPush      = 16 << 10         // bytes of log entries in one heartbeat
 )
 
 // tail reads one stream: a relay follows it closely, any other node now and then.
@@ -138,6 +139,7 @@
 		return
 	}
 	fresh := m.Feed(entries)
+	n.noteSnapshots(stream, fresh)
 	var events []rollout.Event
 	for _, e := range fresh {
 		if stream == ownership.Stream {
@@ -169,9 +171,6 @@
 	n.mu.Lock()
 	b := n.beat(msg, name)
 	n.mu.Unlock()
-	if len(b.Entries) == 0 {
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 	defer cancel()
 	if ans, err := n.client.Exchange(ctx, address, b); err == nil {
@@ -224,9 +223,10 @@
 	}
 }
 
-// entriesFor returns the entries that a node at the positions lacks; the engines are locked.
+// entriesFor returns the entries that a node at the positions lacks, up to a bound; the engines are locked.
 func (n *Node) entriesFor(at []peer.Position) []peer.LogEntry {
 	var out []peer.LogEntry
+	size := 0
 	for _, p := range at {
 		m := n.mirrors[p.Stream]
 		if m == nil {
@@ -234,6 +234,9 @@
 		}
 		list, _ := m.Since(p.Next)
 		for _, e := range list {
+			if size += len(e.Data); size > maxPush {
+				return out // the other node fetches the rest from one place
+			}
 			out = append(out, peer.LogEntry{Stream: p.Stream, Entry: e})
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -50,6 +50,7 @@
 	owners    *ownership.Engine
 	mirrors   map[string]*platform.Mirror
 	positions map[string][]peer.Position // what neighbours have, by name
+	snapped   map[string]time.Time       // last snapshot seen, by stream
 	storeDown bool
 	storeRead time.Time
 	fetching  bool
@@ -61,10 +62,10 @@
 	lanes   atomic.Pointer[map[string]*lane]
 	laneMu  sync.Mutex
 	keys    keyStore
+	silent  silence
 	limits  limiter
 	stop    atomic.Bool
 	running sync.WaitGroup
-	active  atomic.Int64
 	cancel  context.CancelFunc
 }
 
@@ -101,6 +102,7 @@
 	n.owners = ownership.New(now, ownerNode(self), ownership.Policy{})
 	n.mirrors = map[string]*platform.Mirror{rollout.Stream: {}, ownership.Stream: {}}
 	n.positions = make(map[string][]peer.Position)
+	n.snapped = map[string]time.Time{rollout.Stream: now, ownership.Stream: now}
 	n.keys.ledger = idempotency.NewLedger(idempotency.Bounds{
 		Records:     cfg.Limits.Keys,
 		AnswerBytes: int(cfg.Limits.Answers),
@@ -176,7 +178,7 @@
 	ups := echo.New()
 	upstream.Mount(ups, n)
 	return servers{
-		caller:   n.server(n.countCallers(callers), true),
+		caller:   n.server(n.receive(callers), true),
 		peer:     n.server(n.peerHandler(), true),
 		upstream: n.server(ups, false),
 		admin:    n.server(n.adminHandler(), false),
--- a/node/run.go
+++ b/node/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -45,6 +46,12 @@
 // maxStreams bounds the requests on one connection between nodes.
 const maxStreams = 1000
 
+// memoryLimit is the soft limit of the heap, which leaves room for stacks and the program within 128 MB.
+const memoryLimit = 96 << 20
+
+// LimitMemory makes the garbage collector of the process keep to a node's share of memory.
+func LimitMemory() { debug.SetMemoryLimit(memoryLimit) }
+
 // Run serves until ctx ends and then stops gracefully: no request is cut within the drain time.
 func (n *Node) Run(ctx context.Context) error {
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -65,6 +72,7 @@
 	serve(s.upstream, n.lns.upstream)
 	serve(s.admin, n.lns.admin)
 	serve(s.caller, n.lns.caller)
+	n.membersChanged(nil)
 	n.startLoops(base)
 	n.events.Add(event.Event{Kind: event.Start, Text: n.cfg.DataCentre})
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.lns.caller.Addr(), "peer", n.lns.peer.Addr())
@@ -88,6 +96,7 @@
 	n.loop(ctx, tickEvery, n.tick)
 	n.loop(ctx, evaluateEvery, n.evaluate)
 	n.loop(ctx, sweepEvery, n.sweepGates)
+	n.loop(ctx, snapshotCheck, n.snapshots)
 	for stream := range n.mirrors {
 		n.spawn(func() { n.tail(ctx, stream) })
 	}
@@ -168,11 +177,22 @@
 	}
 }
 
-// countCallers asks callers to reconnect elsewhere while the node stops.
-func (n *Node) countCallers(h http.Handler) http.Handler {
+// bundleWait is the time for which a request waits for the first bundle of a node that starts.
+const bundleWait = 2 * time.Second
+
+func (n *Node) awaitBundle(ctx context.Context) {
+	if n.Bundle().Len() > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, bundleWait)
+	defer cancel()
+	n.await(ctx, func() bool { return n.Bundle().Len() > 0 })
+}
+
+// receive holds callers back until the node has a bundle and asks them to reconnect elsewhere while it stops.
+func (n *Node) receive(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.active.Add(1)
-		defer n.active.Add(-1)
+		n.awaitBundle(r.Context())
 		if n.stop.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/node/settings.go
+++ b/node/settings.go
@@ -36,6 +36,8 @@
 type platformSettings struct {
 	Log     string           `toml:"log"`
 	Timeout setting.Duration `toml:"timeout"`
+
+	Snapshot setting.Duration `toml:"snapshot"`
 }
 
 type trustSettings struct {
@@ -66,6 +68,7 @@
 // Defaults of the settings.
 const (
 	defaultLogTimeout    = time.Second
+	defaultSnapshot      = 10 * time.Minute
 	defaultHeader        = 32 << 10 // bytes
 	defaultBody          = 16 << 20 // bytes
 	defaultKeys          = 100_000
@@ -79,7 +82,10 @@
 // DefaultSettings returns settings in which only names, addresses and keys are missing.
 func DefaultSettings() Settings {
 	return Settings{
-		Platform: platformSettings{Timeout: setting.Duration(defaultLogTimeout)},
+		Platform: platformSettings{
+			Timeout:  setting.Duration(defaultLogTimeout),
+			Snapshot: setting.Duration(defaultSnapshot),
+		},
 		Limits: limitSettings{
 			Header:        defaultHeader,
 			Body:          defaultBody,
@@ -121,6 +127,9 @@
 	if len(s.Trust.Keys) == 0 {
 		out = append(out, setting.NewProblem("trust.keys", "is empty, so that no bundle could be signed off"))
 	}
+	if s.Platform.Snapshot <= 0 {
+		out = append(out, setting.NewProblem("platform.snapshot", "is %v, want more than 0", s.Platform.Snapshot.Std()))
+	}
 	if s.Limits.Keys < 1 {
 		out = append(out, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
 	}
--- a/ownership/claim.go
+++ b/ownership/claim.go
@@ -41,8 +41,9 @@
 		return Takeover, !e.liveRef(h.to) && e.fenced(now, s, row)
 	}
 	if h != nil {
-		stale := h.deed || row.Owner == e.self.Ref && h.epoch == row.Epoch && !slices.Equal(h.set, row.Witnesses)
-		return Transfer, stale && h.epoch == row.Epoch && now.Before(h.lease())
+		// The claim is safe without a valid lease: whoever fenced this epoch serves only after a claim of its own won.
+		stale := h.deed || !slices.Equal(h.set, row.Witnesses) || e.anyLost(h.set)
+		return Transfer, stale && h.epoch == row.Epoch
 	}
 	if e.desired[s] != e.self.Name || now.Sub(e.since[s]) < settleTime {
 		return "", false
@@ -209,7 +210,7 @@
 		if h == nil && d == e.self.Name || h != nil && (h.deed || h.sending) {
 			return true
 		}
-		if h != nil && !slices.Equal(h.set, e.table.Rows[s].Witnesses) {
+		if h != nil && (!slices.Equal(h.set, e.table.Rows[s].Witnesses) || e.anyLost(h.set)) {
 			return true
 		}
 	}
--- a/ownership/engine.go
+++ b/ownership/engine.go
@@ -296,7 +296,7 @@
 }
 
 // fallbacks is the number of nodes after the best that are asked for a shard.
-const fallbacks = 2
+const fallbacks = 3
 
 // rankNodes notes the nodes that rank next for the shard and returns the best.
 func (e *Engine) rankNodes(s int, names []string, hashes []uint64) string {
--- a/peer/client.go
+++ b/peer/client.go
@@ -110,7 +110,7 @@
 
 // Vouch asks the witness at address to renew leases.
 func (c *Client) Vouch(ctx context.Context, address string, list []ownership.Lease) (incarnation uint64, refused []int, err error) {
-	ans, err := c.Peer(address).Vouch(ctx, connect.NewRequest(&peerv1.VouchRequest{Leases: leasesProto(list)}))
+	ans, err := c.Peer(address).Vouch(ctx, connect.NewRequest(vouchProto(list)))
 	if err != nil {
 		return 0, nil, errors.Wrapf(err, "vouch by %s", address)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -171,6 +171,31 @@
 	return out
 }
 
+// vouchProto packs the leases, since most of them move nowhere.
+func vouchProto(list []ownership.Lease) *peerv1.VouchRequest {
+	req := &peerv1.VouchRequest{}
+	for _, l := range list {
+		if len(l.Set) > 0 {
+			req.Moves = append(req.Moves, leasesProto([]ownership.Lease{l})...)
+			continue
+		}
+		req.Shards = append(req.Shards, uint32(l.Shard))
+		req.Epochs = append(req.Epochs, l.Epoch)
+	}
+	return req
+}
+
+func vouchLeases(req *peerv1.VouchRequest) []ownership.Lease {
+	out := leases(req.GetMoves())
+	epochs := req.GetEpochs()
+	for i, s := range req.GetShards() {
+		if i < len(epochs) {
+			out = append(out, ownership.Lease{Shard: int(s), Epoch: epochs[i]})
+		}
+	}
+	return out
+}
+
 func leasesProto(list []ownership.Lease) []*peerv1.Lease {
 	var out []*peerv1.Lease
 	for _, l := range list {
--- a/peer/server.go
+++ b/peer/server.go
@@ -91,7 +91,7 @@
 }
 
 func (s *server) Vouch(_ context.Context, req *connect.Request[peerv1.VouchRequest]) (*connect.Response[peerv1.VouchResponse], error) {
-	inc, refused := s.node.Vouch(leases(req.Msg.GetLeases()))
+	inc, refused := s.node.Vouch(vouchLeases(req.Msg))
 	return connect.NewResponse(&peerv1.VouchResponse{Incarnation: inc, Refused: shardsProto(refused)}), nil
 }
 
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -258,8 +258,8 @@
 	case !s.empty():
 		e.before = e.head
 	}
-	e.head, e.last = next, s
-	e.history = append(e.history, s)
+	e.head, e.last = next, s.light()
+	e.history = append(e.history, e.last)
 	if len(e.history) > maxHistory {
 		e.history = slices.Clone(e.history[1:])
 	}
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -28,6 +28,13 @@
 	return sum[:]
 }
 
+// light returns the step without the entries of its delta; what is signed stays.
+func (s *Step) light() Step {
+	out := *s
+	out.Delta = bundle.Delta{Base: s.Delta.Base, Result: s.Delta.Result}
+	return out
+}
+
 // staged reports whether the step is in force in some data centres only.
 func (s *Step) staged() bool { return len(s.Release) > 0 }
 
--- /dev/null
+++ b/upstream/load_test.go
@@ -0,0 +1,55 @@
+package upstream_test
+
+import (
+	"testing"
+
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/matryer/is"
+)
+
+func TestLoadSurvivesItsText(t *testing.T) {
+	is := is.New(t)
+	text := "3,1,5,a,9210,300,500,20000,77,120,9100,200,0,30000,99,0"
+	l, err := upstream.ParseLoad(text)
+	is.NoErr(err)
+	is.Equal(l.String(), text)
+	is.Equal(l.Load.Refusing, uint32(10))
+	is.Equal(l.Class.Seq, uint64(77))
+}
+
+func TestAnnouncementsAreChecked(t *testing.T) {
+	good := upstream.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, State: upstream.Ready}
+	tests := []struct {
+		name   string
+		change func(*upstream.Announcement)
+		ok     bool
+	}{
+		{"good", func(*upstream.Announcement) {}, true},
+		{"no id", func(a *upstream.Announcement) { a.ID = "" }, false},
+		{"a name for an address", func(a *upstream.Announcement) { a.Address = "host:1" }, false},
+		{"no slots", func(a *upstream.Announcement) { a.Slots = 0 }, false},
+		{"a state of its own", func(a *upstream.Announcement) { a.State = "fine" }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			a := good
+			tt.change(&a)
+			is.Equal(a.Check() == nil, tt.ok)
+		})
+	}
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("3,1,5,a,9210,300,500,20000,77,120,9100,200,0,30000,99,0")
+	f.Add(",,,")
+	f.Fuzz(func(t *testing.T, text string) {
+		l, err := upstream.ParseLoad(text)
+		if err != nil {
+			return
+		}
+		if _, err := upstream.ParseLoad(l.String()); err != nil {
+			t.Fatalf("%q does not survive its text: %v", text, err)
+		}
+	})
+}
