--- /dev/null
+++ b/event/event_test.go
@@ -0,0 +1,42 @@
+package event_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestMergeKeepsCauses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Two processes whose physical clocks differ send each other messages; what happened after a message sorts after it.
+		var a, b event.Clock
+		now := time.UnixMilli(1_000_000)
+		skew := time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "skew")) * time.Millisecond
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "ms")) * time.Millisecond)
+			sent := a.Now(now)
+			b.See(sent)
+			got := b.Now(now.Add(skew))
+			if got <= sent {
+				t.Fatalf("the effect %d sorts before its cause %d", got, sent)
+			}
+			a.See(got)
+		}
+	})
+}
+
+func TestRingKeepsTheNewest(t *testing.T) {
+	is := is.New(t)
+	r := event.NewRing("n", &event.Clock{}, 3)
+	for _, u := range []string{"a", "b", "c", "d"} {
+		r.Add(event.Event{Kind: event.Eject, Upstream: u})
+	}
+	got := r.Events(event.Filter{})
+	is.Equal(len(got), 3)
+	is.Equal(got[0].Upstream, "b")
+	is.Equal(len(r.Events(event.Filter{Upstream: "d"})), 1)
+	is.Equal(len(r.Events(event.Filter{Kind: event.Trial})), 0)
+}
--- a/node/logs.go
+++ b/node/logs.go
@@ -98,7 +98,6 @@
 	n.feed(stream, page.Entries)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.storeRead = time.Now()
 	more := n.mirrors[stream].Next() < page.Next
 	if !more && stream == ownership.Stream {
 		n.owners.CaughtUp(time.Now())
--- a/node/members.go
+++ b/node/members.go
@@ -49,15 +49,21 @@
 	}
 }
 
-// tick drives the engines of members and owners.
+// tick drives the engine of members.
 func (n *Node) tick(_ context.Context, now time.Time) {
 	n.mu.Lock()
 	n.members.Tick(now)
 	out := n.members.Take()
+	n.mu.Unlock()
+	n.carryOut(out)
+}
+
+// tickOwners drives the engine of owners.
+func (n *Node) tickOwners(_ context.Context, now time.Time) {
+	n.mu.Lock()
 	n.owners.Tick(now)
 	own := n.owners.Take()
 	n.mu.Unlock()
-	n.carryOut(out)
 	n.carryOutOwners(own)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -52,11 +51,9 @@
 	positions map[string][]peer.Position // what neighbours have, by name
 	snapped   map[string]time.Time       // last snapshot seen, by stream
 	storeDown bool
-	storeRead time.Time
 	fetching  bool
 	view      atomic.Pointer[fleetView]
 	bundle    atomic.Pointer[bundle.Bundle]
-	kick      chan struct{}
 
 	gates   gateSet
 	lanes   atomic.Pointer[map[string]*lane]
@@ -66,7 +63,6 @@
 	limits  limiter
 	stop    atomic.Bool
 	running sync.WaitGroup
-	cancel  context.CancelFunc
 }
 
 type listeners struct {
@@ -75,7 +71,7 @@
 
 // New returns a node that listens on its addresses and does not serve yet.
 func New(cfg Settings, opt Options) (*Node, error) {
-	n := &Node{cfg: cfg, logger: opt.Logger, store: opt.Log, kick: make(chan struct{}, 1)}
+	n := &Node{cfg: cfg, logger: opt.Logger, store: opt.Log}
 	if n.logger == nil {
 		n.logger = log.NewNopLogger()
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -16,6 +16,7 @@
 // Timing of the node's loops.
 const (
 	tickEvery     = 50 * time.Millisecond
+	ownersEvery   = 200 * time.Millisecond
 	evaluateEvery = 100 * time.Millisecond
 	sweepEvery    = 100 * time.Millisecond
 	adminTimeout  = 30 * time.Second // time to write an answer of the admin port
@@ -56,7 +57,6 @@
 func (n *Node) Run(ctx context.Context) error {
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.cancel = cancel
 	s := n.newServers()
 	failed := make(chan error, 4)
 	serve := func(srv *http.Server, ln net.Listener) {
@@ -94,6 +94,7 @@
 
 func (n *Node) startLoops(ctx context.Context) {
 	n.loop(ctx, tickEvery, n.tick)
+	n.loop(ctx, ownersEvery, n.tickOwners)
 	n.loop(ctx, evaluateEvery, n.evaluate)
 	n.loop(ctx, sweepEvery, n.sweepGates)
 	n.loop(ctx, snapshotCheck, n.snapshots)
@@ -102,7 +103,7 @@
 	}
 }
 
-// loop calls f at every interval, and at once when the node is kicked, until ctx ends.
+// loop calls f at every interval until ctx ends.
 func (n *Node) loop(ctx context.Context, every time.Duration, f func(context.Context, time.Time)) {
 	n.spawn(func() {
 		t := time.NewTicker(every)
