Event ring: the size is not read from the guarded slice

Cause: go test -race ./node: the length check of event.Ring.Add read the slice header outside its lock. Change: the size is a field of its own.

--- a/event/event.go
+++ b/event/event.go
@@ -49,6 +49,7 @@
 type Ring struct {
 	node  string
 	clock *Clock
+	size  int
 	mu    sync.Mutex
 	buf   []Event
 	next  int
@@ -56,19 +57,19 @@
 
 // NewRing returns a ring of size events recorded under the node's name.
 func NewRing(node string, clock *Clock, size int) *Ring {
-	return &Ring{node: node, clock: clock, buf: make([]Event, 0, size)}
+	return &Ring{node: node, clock: clock, size: size, buf: make([]Event, 0, size)}
 }
 
 // Add stamps and keeps e, dropping the oldest event when the ring is full.
 func (r *Ring) Add(e Event) {
-	if r == nil || cap(r.buf) == 0 {
+	if r == nil || r.size == 0 {
 		return
 	}
 	e.Node = r.node
 	e.Stamp = r.clock.Now(time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.buf) < cap(r.buf) {
+	if len(r.buf) < r.size {
 		r.buf = append(r.buf, e)
 		return
 	}
