Lab: one place brings a deployment up under load

Cause: eight experiments repeated the same fifteen lines. Change: Run.up and bench. Behaviour is the same.

--- a/jasminelab/experiment/agreed.go
+++ b/jasminelab/experiment/agreed.go
@@ -46,19 +46,12 @@
 // once repeats keyed work through other nodes while nodes are killed, replaced, paused and cut off, with the log up and down.
 func once(ctx context.Context, r *Run) error {
 	shape := r.shape(2)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, keyed(shape, oncePart, 5))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range keyed(shape, oncePart, 5) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	rnd := rand.New(rand.NewPCG(r.opt.Seed, 9))
 	sleep(ctx, onceStep)
 	kills := 0
@@ -90,8 +83,7 @@
 	}
 	f.Log.SetFaults(logstand.Faults{})
 	sleep(ctx, onceStep)
-	stop()
-	g.Wait()
+	b.end()
 	records := g.Records()
 	ran, unknown, died := 0, 0, 0
 	for _, rec := range records {
@@ -244,19 +236,12 @@
 // outage keeps the log away while nodes are replaced.
 func outage(ctx context.Context, r *Run) error {
 	shape := r.shape(2)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, 0.4))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, 0.4) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, onceStep)
 	f.Log.SetFaults(logstand.Faults{Down: true})
 	r.progress("log down")
@@ -288,8 +273,7 @@
 	f.Log.SetFaults(logstand.Faults{})
 	r.progress("log up")
 	sleep(ctx, 4*time.Second)
-	stop()
-	g.Wait()
+	b.end()
 	records := g.Records()
 	lost := 0
 	for _, rec := range records {
@@ -322,36 +306,28 @@
 // split cuts the regions one way, then both ways, and heals them.
 func split(ctx context.Context, r *Run) error {
 	shape := r.shape(2)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, 0.25))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, 0.25) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, onceStep)
-	a, b := shape.Sites[0].Region, shape.Sites[2].Region
-	r.progress("cut %s to %s", a, b)
-	f.Link.Cut(a, b, true)
+	west, east := shape.Sites[0].Region, shape.Sites[2].Region
+	r.progress("cut %s to %s", west, east)
+	f.Link.Cut(west, east, true)
 	sleep(ctx, 6*time.Second)
-	r.progress("cut %s to %s", b, a)
-	f.Link.Cut(b, a, true)
+	r.progress("cut %s to %s", east, west)
+	f.Link.Cut(east, west, true)
 	from := time.Now()
 	sleep(ctx, 8*time.Second)
-	f.Link.Cut(a, b, false)
-	f.Link.Cut(b, a, false)
+	f.Link.Cut(west, east, false)
+	f.Link.Cut(east, west, false)
 	healed := time.Now()
 	r.progress("healed")
 	took := whole(ctx, f, healed)
 	sleep(ctx, onceStep)
-	stop()
-	g.Wait()
+	b.end()
 	records := g.Records()
 	for _, s := range load.Summarize(records, from.Add(4*time.Second), healed) {
 		r.note("split."+s.Class+".answered", float64(s.Answered)/float64(s.Sent), "share")
--- a/jasminelab/experiment/experiment.go
+++ b/jasminelab/experiment/experiment.go
@@ -147,6 +147,42 @@
 	return out
 }
 
+// bench is a deployment under load.
+type bench struct {
+	fleet *fleet.Fleet
+	load  *load.Generator
+	ctx   context.Context // ends with the load
+	stop  context.CancelFunc
+}
+
+// up brings up the deployment and starts the streams.
+func (r *Run) up(ctx context.Context, shape fleet.Shape, list []*load.Stream) (*bench, error) {
+	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
+	if err != nil {
+		if f != nil {
+			f.Close()
+		}
+		return nil, err
+	}
+	b := &bench{fleet: f, load: load.New(f, r.opt.Seed)}
+	b.ctx, b.stop = context.WithCancel(ctx)
+	for _, s := range list {
+		b.load.Start(b.ctx, s)
+	}
+	return b, nil
+}
+
+// end stops the load and waits for the requests in flight.
+func (b *bench) end() {
+	b.stop()
+	b.load.Wait()
+}
+
+func (b *bench) close() {
+	b.stop()
+	b.fleet.Close()
+}
+
 func repeats(c fleet.Class) int {
 	if c.Idempotent {
 		return 0
--- a/jasminelab/experiment/flood.go
+++ b/jasminelab/experiment/flood.go
@@ -114,19 +114,12 @@
 // drain announces a leaving server and stops nodes under load.
 func drain(ctx context.Context, r *Run) error {
 	shape := r.shape(2)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, 0.4))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, 0.4) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, warmUp/2)
 	leaving := f.Upstreams("")[0]
 	leaving.SetState(ctx, upstream.Draining)
@@ -152,8 +145,7 @@
 		r.progress("%d nodes stopped", done+batch)
 	}
 	late := len(leaving.Starts(at.Add(2*time.Second), ""))
-	stop()
-	g.Wait()
+	b.end()
 	r.atMost("drain.late", float64(late), "dispatches", 0)
 	r.atMost("drain.unknown", float64(unknowns(g.Records())), "requests", 0)
 	r.cuts(g.Records())
@@ -175,30 +167,22 @@
 func limit(ctx context.Context, r *Run) error {
 	shape := r.shape(1)
 	shape.Extra = limitExtra
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, 0.3))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, 0.3) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	g := b.load
 	v := shape.Services[0]
 	class := v.Classes[1]
 	greedy := &load.Stream{Service: v, Class: class, Rate: 10 * limitRate, Caller: "greedy"}
 	sleep(ctx, warmUp/2)
-	g.Start(lctx, greedy)
+	g.Start(b.ctx, greedy)
 	sleep(ctx, 2*time.Second)
 	from := time.Now()
 	sleep(ctx, limitSpan)
 	to := time.Now()
-	stop()
-	g.Wait()
+	b.end()
 	granted, others, kept := 0, 0, 0
 	for _, rec := range between(g.Records(), from, to) {
 		ok := rec.Outcome == "ran" && rec.Whole
--- a/jasminelab/experiment/gray.go
+++ b/jasminelab/experiment/gray.go
@@ -52,19 +52,12 @@
 // gray measures the time from the onset of a sickness until the sick server gets under 5% of its fair share.
 func gray(ctx context.Context, r *Run) error {
 	shape := r.shape(1)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, grayLoad))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, grayLoad) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, warmUp)
 	watch := fullWatch
 	if r.opt.Quick {
@@ -95,8 +88,7 @@
 		after = append(after, between(records, onset.Add(3*time.Second), onset.Add(watch))...)
 		sleep(ctx, grayRest)
 	}
-	stop()
-	g.Wait()
+	b.end()
 	r.atMost("gray.detect.median", millis(quantile(all, 0.5)), "ms", 1000)
 	r.atMost("gray.detect.p95", millis(quantile(all, 0.95)), "ms", 3000)
 	for _, c := range load.Summarize(before, time.Time{}, time.Time{}) {
@@ -175,19 +167,12 @@
 // calm counts ejections while no server is sick.
 func calm(ctx context.Context, r *Run) error {
 	shape := r.shape(1)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, grayLoad))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, grayLoad) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, warmUp)
 	rounds := 1
 	if !r.opt.Quick {
@@ -196,8 +181,7 @@
 	for range rounds {
 		calmRound(ctx, f)
 	}
-	stop()
-	g.Wait()
+	b.end()
 	list, err := timelineKind(ctx, f, event.Eject)
 	if err != nil {
 		return err
@@ -241,19 +225,12 @@
 // floor makes half of the servers sick, cuts paths one way and counts the moments at which a node leaves fewer in service than the floor.
 func floor(ctx context.Context, r *Run) error {
 	shape := r.shape(1)
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, streams(shape, grayLoad/2))
 	if err != nil {
 		return err
 	}
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, grayLoad/2) {
-		g.Start(lctx, s)
-	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	sleep(ctx, warmUp)
 	kinds := []upstand.Faults{{Slow: 10}, {Fail: 1}, {Slow: 5}}
 	for i, u := range f.Upstreams("") {
@@ -284,8 +261,7 @@
 		}
 		sleep(ctx, 200*time.Millisecond)
 	}
-	stop()
-	g.Wait()
+	b.end()
 	r.note("floor.polls", float64(polls), "views")
 	r.note("floor.most_out", float64(most), "upstreams")
 	r.note("floor.least", least, "share")
