--- a/jasminelab/experiment/experiment.go
+++ b/jasminelab/experiment/experiment.go
@@ -146,6 +146,14 @@
 	return out
 }
 
+// withoutRepeats makes the callers of the streams send each request once.
+func withoutRepeats(list []*load.Stream) []*load.Stream {
+	for _, s := range list {
+		s.Repeats = 0
+	}
+	return list
+}
+
 // bench is a deployment under load.
 type bench struct {
 	fleet *fleet.Fleet
--- a/jasminelab/experiment/flood.go
+++ b/jasminelab/experiment/flood.go
@@ -31,22 +31,14 @@
 	shape := r.shape(1)
 	shape.Services = shape.Services[:1]
 	shape.Services[0].Mean = floodMean
-	f, err := fleet.Up(ctx, shape, fleet.Options{Seed: r.opt.Seed})
-	if f != nil {
-		defer f.Close()
-	}
+	b, err := r.up(ctx, shape, withoutRepeats(streams(shape, floodLoad)))
 	if err != nil {
 		return err
 	}
+	defer b.close()
+	f, g := b.fleet, b.load
 	v := shape.Services[0]
 	capacity := shape.Capacity(v)
-	g := load.New(f, r.opt.Seed)
-	lctx, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, s := range streams(shape, floodLoad) {
-		s.Repeats = 0
-		g.Start(lctx, s)
-	}
 	sleep(ctx, floodRest)
 	calmFrom := time.Now()
 	sleep(ctx, floodCalm)
@@ -58,7 +50,7 @@
 		times float64
 	}{{"low5", low, 5}, {"low10", low, 10}, {"urgent5", urgent, 5}} {
 		from := time.Now()
-		wctx, end := context.WithTimeout(lctx, floodSpan)
+		wctx, end := context.WithTimeout(b.ctx, floodSpan)
 		extra := &load.Stream{Service: v, Class: wave.class, Rate: capacity * wave.times, Callers: 50, Key: !wave.class.Idempotent}
 		g.Start(wctx, extra)
 		sleep(ctx, floodSpan)
@@ -69,8 +61,7 @@
 		sleep(ctx, floodRest)
 		r.wave(wave.name, shape, g.Records(), wave.class, [6]time.Time{calmFrom, calmTo, from.Add(time.Second), to, backFrom, time.Now()})
 	}
-	stop()
-	g.Wait()
+	b.end()
 	r.note("flood.unsent", float64(g.Unsent()), "requests")
 	r.audit("flood.", load.Check(g.Records(), f.Upstreams("")))
 	return nil
--- a/jasminelab/experiment/gray.go
+++ b/jasminelab/experiment/gray.go
@@ -303,12 +303,7 @@
 	}{{"some", 0.3}, {"all", 1}} {
 		g := load.New(f, r.opt.Seed)
 		lctx, stop := context.WithCancel(ctx)
-		var list []*load.Stream
-		for _, s := range streams(shape, grayLoad) {
-			s.Repeats = 0
-			list = append(list, s)
-		}
-		for _, s := range list {
+		for _, s := range withoutRepeats(streams(shape, grayLoad)) {
 			g.Start(lctx, s)
 		}
 		sleep(ctx, warmUp)
--- a/node/serve.go
+++ b/node/serve.go
@@ -150,11 +150,10 @@
 		return outcome.NewError(outcome.NotRun, outcome.CodeExpired, nil)
 	}
 	q := routing.Query{
-		Class:      r.class,
-		Exclude:    r.tried,
-		Far:        r.job.match.Class.Spill() && r.n.linkOpen(),
-		Idempotent: !r.job.once(),
-		Spare:      spare,
+		Class:   r.class,
+		Exclude: r.tried,
+		Far:     r.job.match.Class.Spill() && r.n.linkOpen(),
+		Spare:   spare,
 	}
 	r.lane.mu.Lock()
 	choice, err := r.lane.group.Pick(now, q, r.lane.rnd)
--- a/peer/client.go
+++ b/peer/client.go
@@ -58,13 +58,6 @@
 // Close closes the connections that are idle.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Forget drops the client of an address that is no longer used.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.clients, address)
-}
-
 // Peer returns the generated client of the node at the address.
 func (c *Client) Peer(address string) peerv1connect.PeerClient {
 	c.mu.Lock()
--- a/rollout/engine_test.go
+++ b/rollout/engine_test.go
@@ -157,11 +157,11 @@
 // TestRacingOperators draws proposals, approvals, rolls, repeated appends, lagging readers, snapshots and nodes that start from others, and checks that all nodes accept the same chain and never go back.
 func TestRacingOperators(t *testing.T) {
 	o := newOperators(t)
-	rapid.Check(t, func(t *rapid.T) { race(t, o, false) })
+	rapid.Check(t, func(t *rapid.T) { race(t, o) })
 }
 
-// race runs one history; with the plant, a node takes any state that another sends, older ones too.
-func race(t *rapid.T, o operators, plant bool) {
+// race runs one history.
+func race(t *rapid.T, o operators) {
 	var l logList
 	nodes := make([]*rollout.Engine, rapid.IntRange(2, 5).Draw(t, "nodes"))
 	for i := range nodes {
@@ -194,9 +194,6 @@
 			}
 		case 5:
 			st := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "from")].State()
-			if plant && st.Head.Version > 0 {
-				nodes[k] = rollout.New("a", o.ring)
-			}
 			if _, err := nodes[k].Adopt(st); err != nil {
 				t.Fatal(err)
 			}
--- a/routing/group.go
+++ b/routing/group.go
@@ -82,11 +82,10 @@
 
 // Query describes an attempt to be routed.
 type Query struct {
-	Class      int
-	Exclude    []string // upstreams that earlier attempts used
-	Far        bool     // another region may be used
-	Idempotent bool
-	Spare      bool // only an upstream with capacity to spare will do
+	Class   int
+	Exclude []string // upstreams that earlier attempts used
+	Far     bool     // another region may be used
+	Spare   bool     // only an upstream with capacity to spare will do
 }
 
 // Observation is what one attempt showed.
@@ -143,9 +142,6 @@
 // SetFloor changes the share of upstreams that ejection leaves in service.
 func (g *Group) SetFloor(floor float64) { g.detector.SetFloor(floor) }
 
-// InService returns how many upstreams the node can reach and has not ejected.
-func (g *Group) InService() int { return g.detector.InService() }
-
 // Update replaces the upstreams of the service by those known from membership.
 func (g *Group) Update(now time.Time, list []Upstream) {
 	list = g.subset(list)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/jasminevane/jasminevane/admission"
@@ -79,7 +78,6 @@
 	waiting   map[uint64]chan admission.Verdict
 	nextID    uint64
 	client    *http.Transport
-	started   atomic.Uint64
 }
 
 // NewGate returns the gate of an announced upstream.
@@ -163,9 +161,6 @@
 	return l.Running + l.Queued
 }
 
-// Dispatched returns how many attempts were sent to the upstream.
-func (g *Gate) Dispatched() uint64 { return g.started.Load() }
-
 // Load returns the load with the evidence on the named class.
 func (g *Gate) Load(class string) Load {
 	g.mu.Lock()
@@ -336,7 +331,6 @@
 		g.done(a, id, start, neutral)
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err)
 	}
-	g.started.Add(1)
 	g.mu.Lock()
 	g.usual[id] = a.Usual
 	g.mu.Unlock()
