--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -30,7 +30,7 @@
 }
 
 // Policy holds the rules that span all services.
-type Policy struct{ doc policyDoc }
+type Policy struct{ doc PolicySpec }
 
 // Signoffs returns how many different signers must sign a change.
 func (p Policy) Signoffs() int { return max(1, p.doc.Signoffs) }
@@ -41,12 +41,15 @@
 // Retries returns the retries allowed as a ratio of requests.
 func (p Policy) Retries() float64 { return p.doc.Retries }
 
+// Reserve returns the retries that the whole fleet may save up for each service.
+func (p Policy) Reserve() float64 { return p.doc.Reserve }
+
 // LinkBytes returns the bytes a second that one node may send to other regions, or 0 for no bound.
 func (p Policy) LinkBytes() int64 { return int64(p.doc.LinkBytes) }
 
 // Service is a named group of upstreams.
 type Service struct {
-	doc     serviceDoc
+	doc     ServiceSpec
 	classes map[string]*Class
 }
 
@@ -75,7 +78,7 @@
 }
 
 // Class is a class of work of one service.
-type Class struct{ doc classDoc }
+type Class struct{ doc ClassSpec }
 
 // Service returns the name of the service.
 func (c *Class) Service() string { return c.doc.Service }
@@ -95,11 +98,19 @@
 // Timeout returns the longest time a request of the class may take.
 func (c *Class) Timeout() time.Duration { return c.doc.Timeout.Std() }
 
+// Objective returns the time within which an answer has its full worth, or the timeout where none is given.
+func (c *Class) Objective() time.Duration {
+	if c.doc.Objective > 0 {
+		return c.doc.Objective.Std()
+	}
+	return c.doc.Timeout.Std()
+}
+
 // Spill reports whether the work may cross to another region when its own lacks capacity.
 func (c *Class) Spill() bool { return c.doc.Spill }
 
 // Caller is a caller with its limit over the whole fleet.
-type Caller struct{ doc callerDoc }
+type Caller struct{ doc CallerSpec }
 
 // Name returns the caller's name.
 func (c *Caller) Name() string { return c.doc.Name }
@@ -184,7 +195,7 @@
 		put("class/"+c.Service+"/"+c.Name, c)
 	}
 	for _, r := range d.Routes {
-		put("route/"+r.Service+" "+r.Method+" "+r.Prefix, r)
+		put(r.key(), r)
 	}
 	for _, c := range d.Callers {
 		put("caller/"+c.Name, c)
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -16,51 +16,70 @@
 
 // Document is a bundle as operators write it in TOML.
 type Document struct {
-	Policy   policyDoc    `toml:"policy" json:"policy"`
-	Teams    []teamDoc    `toml:"team" json:"team"`
-	Services []serviceDoc `toml:"service" json:"service"`
-	Classes  []classDoc   `toml:"class" json:"class"`
-	Routes   []routeDoc   `toml:"route" json:"route"`
-	Callers  []callerDoc  `toml:"caller" json:"caller"`
+	Policy   PolicySpec    `toml:"policy" json:"policy"`
+	Teams    []TeamSpec    `toml:"team" json:"team"`
+	Services []ServiceSpec `toml:"service" json:"service"`
+	Classes  []ClassSpec   `toml:"class" json:"class"`
+	Routes   []RouteSpec   `toml:"route" json:"route"`
+	Callers  []CallerSpec  `toml:"caller" json:"caller"`
 }
 
-type policyDoc struct {
+// PolicySpec holds the rules that span all services.
+type PolicySpec struct {
 	Signoffs     int              `toml:"signoffs" json:"signoffs"`
 	KeyRetention setting.Duration `toml:"key_retention" json:"key_retention"`
 	Retries      float64          `toml:"retries" json:"retries"`
+	Reserve      float64          `toml:"reserve" json:"reserve,omitempty"` // retries that the whole fleet may save up for each service
 	LinkBytes    setting.Size     `toml:"link_bytes" json:"link_bytes"`
 }
 
-type teamDoc struct {
+// TeamSpec names the signers of a team.
+type TeamSpec struct {
 	Name    string   `toml:"name" json:"name"`
 	Signers []string `toml:"signers" json:"signers"`
 }
 
-type serviceDoc struct {
+// ServiceSpec describes a service.
+type ServiceSpec struct {
 	Name  string   `toml:"name" json:"name"`
 	Team  string   `toml:"team" json:"team,omitempty"`
-	Hosts []string `toml:"hosts" json:"hosts"`
+	Hosts []string `toml:"hosts" json:"hosts,omitempty"` // may be empty where every route names its host
 	Floor float64  `toml:"floor" json:"floor"`
 }
 
-type classDoc struct {
+// ClassSpec describes a class of work.
+type ClassSpec struct {
 	Service    string           `toml:"service" json:"service"`
 	Name       string           `toml:"name" json:"name"`
 	Priority   int              `toml:"priority" json:"priority"`
 	Share      float64          `toml:"share" json:"share"`
 	Idempotent bool             `toml:"idempotent" json:"idempotent"`
 	Timeout    setting.Duration `toml:"timeout" json:"timeout"`
+	Objective  setting.Duration `toml:"objective" json:"objective,omitempty"` // time within which an answer has its full worth
 	Spill      bool             `toml:"spill" json:"spill,omitempty"`
 }
 
-type routeDoc struct {
-	Service string `toml:"service" json:"service"`
-	Prefix  string `toml:"prefix" json:"prefix"`
-	Method  string `toml:"method" json:"method"`
-	Class   string `toml:"class" json:"class"`
+// RouteSpec sends the requests under a prefix to a class of work, or divides them among several services.
+type RouteSpec struct {
+	Service  string           `toml:"service" json:"service"`
+	Host     string           `toml:"host" json:"host,omitempty"` // instead of the service's hosts
+	Prefix   string           `toml:"prefix" json:"prefix"`
+	Method   string           `toml:"method" json:"method"`
+	Class    string           `toml:"class" json:"class"`
+	Timeout  setting.Duration `toml:"timeout" json:"timeout,omitempty"`   // instead of the class's
+	Attempts int              `toml:"attempts" json:"attempts,omitempty"` // upstreams that one request may be sent to; 0 for the default
+	Split    []PartSpec       `toml:"split" json:"split,omitempty"`
 }
 
-type callerDoc struct {
+// PartSpec is one part of a divided route.
+type PartSpec struct {
+	Service string  `toml:"service" json:"service"`
+	Class   string  `toml:"class" json:"class"`
+	Weight  float64 `toml:"weight" json:"weight"`
+}
+
+// CallerSpec limits a caller.
+type CallerSpec struct {
 	Name  string  `toml:"name" json:"name"`
 	Rate  float64 `toml:"rate" json:"rate"`
 	Burst float64 `toml:"burst" json:"burst"`
@@ -75,6 +94,17 @@
 	return build(&d)
 }
 
+// Build checks and compiles a document that was not read from TOML; the error is an *InvalidError.
+func Build(d *Document) (*Bundle, error) { return build(d) }
+
+// key returns the name of the route's entry.
+func (r *RouteSpec) key() string {
+	if r.Host != "" {
+		return "route/" + r.Host + " " + r.Method + " " + r.Prefix
+	}
+	return "route/" + r.Service + " " + r.Method + " " + r.Prefix
+}
+
 // Check implements setting.Checker.
 func (d *Document) Check() []setting.Problem {
 	var c checker
@@ -98,10 +128,10 @@
 
 func (c *checker) name(key, name string) {
 	bad := strings.ContainsFunc(name, func(r rune) bool {
-		return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-", r)
+		return !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-_.", r)
 	})
 	if name == "" || len(name) > maxNameLen || bad {
-		c.add(key, "%q is not a name of 1 to %d lower-case letters, digits and hyphens", name, maxNameLen)
+		c.add(key, "%q is not a name of 1 to %d lower-case letters, digits, hyphens, underscores and dots", name, maxNameLen)
 	}
 }
 
@@ -115,7 +145,7 @@
 	c.seen[id] = true
 }
 
-func (c *checker) policy(p policyDoc) {
+func (c *checker) policy(p PolicySpec) {
 	if p.Signoffs < 1 {
 		c.add("policy.signoffs", "is %d, want at least 1", p.Signoffs)
 	}
@@ -143,7 +173,7 @@
 		if s.Team != "" && !c.seen["team/"+s.Team] {
 			c.add(key+".team", "team %q is not declared", s.Team)
 		}
-		if len(s.Hosts) == 0 {
+		if len(s.Hosts) == 0 && c.needsHost(d, s.Name) {
 			c.add(key+".hosts", "is empty")
 		}
 		for _, h := range s.Hosts {
@@ -155,6 +185,18 @@
 	}
 }
 
+// needsHost reports whether the service is reached by its own hosts: no route names it, or one does without a host.
+func (c *checker) needsHost(d *Document, service string) bool {
+	hosted := false
+	for _, r := range d.Routes {
+		if r.Host == "" && r.Service == service {
+			return true
+		}
+		hosted = hosted || r.Host != ""
+	}
+	return !hosted
+}
+
 func (c *checker) classes(d *Document) {
 	shares := make(map[string]float64)
 	for i, k := range d.Classes {
@@ -186,7 +228,28 @@
 		if !strings.HasPrefix(r.Prefix, "/") {
 			c.add(key+".prefix", "%q does not start with /", r.Prefix)
 		}
-		c.unique(key+".prefix", "route/"+r.Service+" "+r.Method+" "+r.Prefix)
+		c.unique(key+".prefix", r.key())
+		if r.Attempts < 0 {
+			c.add(key+".attempts", "is %d, want at least 0", r.Attempts)
+		}
+		c.parts(key, r)
+	}
+}
+
+func (c *checker) parts(key string, r RouteSpec) {
+	sum := 0.0
+	for j, p := range r.Split {
+		part := fmt.Sprintf("%s.split[%d]", key, j)
+		if !c.seen["class/"+p.Service+"/"+p.Class] {
+			c.add(part+".class", "class %q of service %q is not declared", p.Class, p.Service)
+		}
+		if p.Weight < 0 {
+			c.add(part+".weight", "is %g, want at least 0", p.Weight)
+		}
+		sum += max(0, p.Weight)
+	}
+	if len(r.Split) > 0 && sum == 0 {
+		c.add(key+".split", "has no part with a weight")
 	}
 }
 
--- a/bundle/route.go
+++ b/bundle/route.go
@@ -1,38 +1,105 @@
 package bundle
 
-import "strings"
+import (
+	"strings"
+	"time"
+)
 
-// routes holds the routes of one host by method and path prefix.
+// routes holds the routes of one host by path prefix.
 type routes struct {
-	service *Service
-	prefix  map[string][]target
+	prefix map[string][]*Route
 }
 
-type target struct {
-	method string
-	class  *Class
+// Route sends the requests under a prefix to a class of work, or divides them among several services.
+type Route struct {
+	doc   RouteSpec
+	parts []part
+	total float64
 }
 
-// Match is the service and class that a request belongs to.
+type part struct {
+	Match
+	weight float64
+}
+
+// Match is the service and class that a request belongs to, with the route that led there.
 type Match struct {
 	Service *Service
 	Class   *Class
+	Route   *Route
+}
+
+// Timeout returns the longest time that a request on the route may take.
+func (m Match) Timeout() time.Duration {
+	if m.Route != nil && m.Route.doc.Timeout > 0 {
+		return m.Route.doc.Timeout.Std()
+	}
+	return m.Class.Timeout()
+}
+
+// Attempts returns how many upstreams a request on the route may be sent to, or 0 for the default.
+func (m Match) Attempts() int {
+	if m.Route == nil {
+		return 0
+	}
+	return m.Route.doc.Attempts
+}
+
+// Key returns the name of the route, which stays the same over versions.
+func (r *Route) Key() string { return r.doc.key() }
+
+// Divided reports whether the route has several parts.
+func (r *Route) Divided() bool { return len(r.parts) > 1 }
+
+// Part returns the part at the point, from 0 to 1, of the weights laid end to end.
+func (r *Route) Part(point float64) Match {
+	at := point * r.total
+	for _, p := range r.parts {
+		if at -= p.weight; at < 0 {
+			return p.Match
+		}
+	}
+	return r.parts[len(r.parts)-1].Match
 }
 
 func (b *Bundle) compileRoutes(d *Document) {
-	tables := make(map[string]*routes, len(b.services))
-	for _, s := range b.services {
-		t := &routes{service: s, prefix: make(map[string][]target)}
-		tables[s.Name()] = t
-		for _, h := range s.doc.Hosts {
-			b.hosts[h] = t
+	for _, doc := range d.Routes {
+		r := b.compileRoute(doc)
+		p := strings.TrimSuffix(doc.Prefix, "/")
+		for _, h := range b.routeHosts(doc) {
+			t := b.hosts[h]
+			if t == nil {
+				t = &routes{prefix: make(map[string][]*Route)}
+				b.hosts[h] = t
+			}
+			t.prefix[p] = append(t.prefix[p], r)
 		}
 	}
-	for _, r := range d.Routes {
-		t := tables[r.Service]
-		p := strings.TrimSuffix(r.Prefix, "/")
-		t.prefix[p] = append(t.prefix[p], target{method: r.Method, class: t.service.classes[r.Class]})
+}
+
+func (b *Bundle) routeHosts(doc RouteSpec) []string {
+	if doc.Host != "" {
+		return []string{doc.Host}
 	}
+	return b.services[doc.Service].doc.Hosts
+}
+
+func (b *Bundle) compileRoute(doc RouteSpec) *Route {
+	r := &Route{doc: doc}
+	add := func(service, class string, weight float64) {
+		s := b.services[service]
+		r.parts = append(r.parts, part{Match{Service: s, Class: s.classes[class], Route: r}, weight})
+		r.total += weight
+	}
+	for _, p := range doc.Split {
+		if p.Weight > 0 {
+			add(p.Service, p.Class, p.Weight)
+		}
+	}
+	if len(r.parts) == 0 {
+		add(doc.Service, doc.Class, 1)
+	}
+	return r
 }
 
 // Route returns the match of the longest path prefix at a segment boundary, and false where no route matches.
@@ -44,9 +111,10 @@
 	if t == nil {
 		return Match{}, false
 	}
-	for p := strings.TrimSuffix(path, "/"); ; {
-		if c := choose(t.prefix[p], method); c != nil {
-			return Match{Service: t.service, Class: c}, true
+	bare := !strings.HasSuffix(path, "/")
+	for p := strings.TrimSuffix(path, "/"); ; bare = false {
+		if r := choose(t.prefix[p], method, bare); r != nil {
+			return r.Part(0), true
 		}
 		i := strings.LastIndexByte(p, '/')
 		if i < 0 {
@@ -56,15 +124,18 @@
 	}
 }
 
-// choose prefers the target that names the method to one that takes any.
-func choose(list []target, method string) *Class {
-	var other *Class
-	for _, t := range list {
-		if t.method == method {
-			return t.class
+// choose prefers the route that names the method to one that takes any; bare says that the path has no slash after the prefix.
+func choose(list []*Route, method string, bare bool) *Route {
+	var other *Route
+	for _, r := range list {
+		if bare && len(r.doc.Prefix) > 1 && strings.HasSuffix(r.doc.Prefix, "/") {
+			continue
+		}
+		if r.doc.Method == method {
+			return r
 		}
-		if t.method == "" {
-			other = t.class
+		if r.doc.Method == "" {
+			other = r
 		}
 	}
 	return other
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -24,31 +24,31 @@
 	Ended(r *Request, o outcome.Outcome, err error, took time.Duration)
 }
 
-// Mount adds the handler of callers' requests to e; body bounds the bytes of a request's body.
-func Mount(e *echo.Echo, f Fleet, body int64) {
+// Mount adds the handler of callers' requests in the dialect to e; body bounds the bytes of a request's body.
+func Mount(e *echo.Echo, d Dialect, f Fleet, body int64) {
 	e.RouteNotFound("/*", func(c echo.Context) error {
-		handle(f, c.Response().Writer, c.Request(), body)
+		d.handle(f, c.Response().Writer, c.Request(), body)
 		return nil
 	})
 }
 
-func handle(f Fleet, w http.ResponseWriter, req *http.Request, body int64) {
+func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, body int64) {
 	start := time.Now()
 	if req.Body != nil {
 		req.Body = http.MaxBytesReader(w, req.Body, body)
 	}
-	r, err := parse(f.Bundle(), req, start)
+	r, err := d.parse(f.Bundle(), req, start)
 	if err != nil {
-		sendProblem(w, "", err)
+		d.sendProblem(w, "", err)
 		return
 	}
 	ans, err := run(f, r, body)
 	if err != nil {
-		sendProblem(w, r.ID, err)
+		d.sendProblem(w, r.ID, err)
 		f.Ended(r, errorOutcome(err), err, time.Since(start))
 		return
 	}
-	w.Header().Set(RequestHeader, r.ID)
+	w.Header().Set(d.Request, r.ID)
 	ans.Header.Set(outcome.Header, string(outcome.Ran))
 	if err := ans.Send(w); err != nil {
 		f.Ended(r, outcome.Unknown, err, time.Since(start))
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
 	"github.com/pkg/errors"
@@ -45,16 +46,27 @@
 	return http.StatusServiceUnavailable
 }
 
+// retryAfter formats the time to come back in seconds.
+func (d Dialect) retryAfter(after time.Duration) string {
+	if d.FractionalRetry {
+		return strconv.FormatFloat(after.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(after.Seconds())))
+}
+
 // sendProblem answers with the error; requestID may be empty.
-func sendProblem(w http.ResponseWriter, requestID string, err error) {
+func (d Dialect) sendProblem(w http.ResponseWriter, requestID string, err error) {
 	var e *outcome.Error
 	if !errors.As(err, &e) {
 		e = outcome.NewError(outcome.Unknown, outcome.CodePath, err)
 	}
 	h := w.Header()
 	s := status(e)
+	if requestID != "" {
+		h.Set(d.Request, requestID)
+	}
 	if e.Retry > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.Retry.Seconds()))))
+		h.Set("Retry-After", d.retryAfter(e.Retry))
 	} else if s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
 		h.Set("Retry-After", "1")
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -11,15 +11,6 @@
 	"github.com/pkg/errors"
 )
 
-// Headers of the contract with callers.
-const (
-	CallerHeader  = "Caller"              // name of the caller
-	TimeoutHeader = "Request-Timeout"     // milliseconds that the caller waits
-	KeyHeader     = "Idempotency-Key"     // names a request so that a repeat does not run again
-	TryHeader     = "Idempotency-Attempt" // 1 says that no earlier request with the key was sent, or that all were answered as not run
-	RequestHeader = "Request-Id"          // names one request in logs and in the time line
-)
-
 // Bounds of a request.
 const (
 	maxKey     = 128 // bytes
@@ -39,7 +30,7 @@
 }
 
 // parse reads the head of a request; the error is an *outcome.Error.
-func parse(b *bundle.Bundle, req *http.Request, now time.Time) (*Request, error) {
+func (d Dialect) parse(b *bundle.Bundle, req *http.Request, now time.Time) (*Request, error) {
 	if b.Len() == 0 {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, errors.New("no bundle is in force yet"))
 	}
@@ -47,17 +38,17 @@
 	if !ok {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
 	}
-	r := &Request{Caller: req.Header.Get(CallerHeader), Match: m, Key: req.Header.Get(KeyHeader), HTTP: req}
-	r.Fresh = req.Header.Get(TryHeader) == "1"
+	r := &Request{Caller: get(req.Header, d.Caller), Match: m, Key: get(req.Header, d.Key), HTTP: req}
+	r.Fresh = get(req.Header, d.Try) == "1"
 	if len(r.Key) > maxKey {
-		return nil, badRequest("%s has more than %d bytes", KeyHeader, maxKey)
+		return nil, badRequest("%s has more than %d bytes", d.Key, maxKey)
 	}
-	timeout, err := timeout(req.Header.Get(TimeoutHeader), m.Class.Timeout())
+	timeout, err := d.timeout(get(req.Header, d.Timeout), m.Timeout())
 	if err != nil {
 		return nil, err
 	}
 	r.Deadline = now.Add(timeout)
-	r.ID = req.Header.Get(RequestHeader)
+	r.ID = get(req.Header, d.Request)
 	if r.ID == "" || len(r.ID) > maxKey {
 		r.ID = uuid.NewString()
 	}
@@ -68,13 +59,13 @@
 	return outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, errors.Errorf(format, args...))
 }
 
-func timeout(text string, longest time.Duration) (time.Duration, error) {
+func (d Dialect) timeout(text string, longest time.Duration) (time.Duration, error) {
 	if text == "" {
 		return longest, nil
 	}
 	ms, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || ms <= 0 {
-		return 0, badRequest("%s %q is not a positive number of milliseconds", TimeoutHeader, text)
+		return 0, badRequest("%s %q is not a positive number of milliseconds", d.Timeout, text)
 	}
 	return max(minTimeout, min(longest, time.Duration(ms)*time.Millisecond)), nil
 }
--- a/jasmined/main.go
+++ b/jasmined/main.go
@@ -30,7 +30,8 @@
 }
 
 func run(ctx context.Context, cmd *cli.Command) error {
-	cfg, err := node.LoadSettings(cmd.String("config"))
+	file := cmd.String("config")
+	cfg, err := node.LoadSettings(file)
 	if err != nil {
 		return err
 	}
@@ -41,9 +42,12 @@
 	node.LimitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(os.Stderr, cfg)})
+	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(os.Stdout, cfg)})
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go n.Watch(ctx, file, hup)
 	return n.Run(ctx)
 }
--- a/jasminelab/experiment/agreed.go
+++ b/jasminelab/experiment/agreed.go
@@ -12,6 +12,7 @@
 	"github.com/jasminevane/jasminevane/jasminelab/fleet"
 	"github.com/jasminevane/jasminevane/jasminelab/load"
 	"github.com/jasminevane/jasminevane/jasminelab/logstand"
+	"github.com/jasminevane/jasminevane/platform"
 	"github.com/jasminevane/jasminevane/rollout"
 )
 
@@ -133,7 +134,7 @@
 	accepted := raceOperators(ctx, f, span)
 	sleep(ctx, 3*time.Second)
 	elapsed := time.Since(from).Seconds()
-	spread, missing := spreads(ctx, f, accepted, f.Log)
+	spread, missing := spreads(ctx, f, accepted, platform.NewClient(f.Store, serveBound, nil))
 	r.note("bundle.accepted", float64(len(accepted)), "changes")
 	r.atMost("bundle.force.p99", millis(quantile(spread, 0.99)), "ms", 2000)
 	r.note("bundle.force.p50", millis(quantile(spread, 0.5)), "ms")
@@ -187,9 +188,9 @@
 }
 
 // spreads returns the times from the roll's append until each node put the change in force.
-func spreads(ctx context.Context, f *fleet.Fleet, ids []string, l *logstand.Log) (out []time.Duration, missing int) {
+func spreads(ctx context.Context, f *fleet.Fleet, ids []string, store platform.Log) (out []time.Duration, missing int) {
 	rolled := make(map[string]time.Time)
-	page, err := l.Read(ctx, rollout.Stream, 0, 0)
+	page, err := store.Read(ctx, rollout.Stream, 0, 0)
 	if err != nil {
 		return nil, len(ids)
 	}
--- a/jasminelab/logstand/log.go
+++ b/jasminelab/logstand/log.go
@@ -2,43 +2,64 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"net/http"
-	"strconv"
+	"strings"
 	"sync"
 	"time"
 
-	"github.com/jasminevane/jasminevane/platform"
-	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 )
 
 // Bounds of the service.
 const (
-	maxWait   = 30 * time.Second
-	maxRecord = 8 << 20 // bytes
-	maxPage   = 1000    // records
+	maxWait     = 30 * time.Second
+	maxRecord   = 256 << 10 // bytes
+	maxCall     = 2 << 20   // bytes of the records of one append
+	maxItems    = 500       // newest records in one page
+	keyedPrefix = "keyed."
+	keptAppends = 5 // appends of a producer that are answered again when repeated
 )
 
 // Faults are the faults that the stand-in shows.
 type Faults struct {
 	Down      bool          `json:"down"`
+	Refuse    []string      `json:"refuse"`    // addresses of callers that are refused while others are served
 	Slow      time.Duration `json:"slow"`      // delay of every call
 	LoseShare float64       `json:"loseshare"` // share of appends whose answer is lost after the effect
+	Late      time.Duration `json:"late"`      // delay of the effect of an append whose answer is lost
 }
 
-type stream struct {
-	first   platform.Offset
-	entries []platform.Entry
-	grown   chan struct{}
+// part is one partition of a topic.
+type part struct {
+	keyed     bool
+	first     uint64
+	records   []record
+	newest    map[string]record
+	producers map[string]*producer
+	grown     chan struct{}
 }
 
-// Log is the stand-in; it implements platform.Log for use without a network.
+type record struct {
+	offset uint64
+	at     time.Time
+	data   []byte
+}
+
+// producer is what a partition knows of one fenced writer.
+type producer struct {
+	epoch uint64
+	next  uint64 // sequence number that must follow
+	open  bool   // any sequence number may follow, since the epoch is new
+	last  []repeat
+}
+
+type repeat struct{ seq, offset, end uint64 }
+
+// Log is the stand-in of the platform's store.
 type Log struct {
 	mu        sync.Mutex
-	streams   map[string]*stream
+	parts     map[string]*part
 	faults    Faults
 	retention time.Duration
 	limiter   *rate.Limiter
@@ -53,7 +74,7 @@
 // New returns an empty log that takes at most perSecond appends a second and keeps records for retention (0 for ever).
 func New(perSecond int, retention time.Duration, seed uint64) *Log {
 	return &Log{
-		streams:   make(map[string]*stream),
+		parts:     make(map[string]*part),
 		retention: retention,
 		limiter:   rate.NewLimiter(rate.Limit(perSecond), perSecond),
 		rnd:       rand.New(rand.NewPCG(seed, 1)),
@@ -81,38 +102,88 @@
 	return Counts{Appends: l.appends, Reads: l.reads, Peak: l.peak}
 }
 
-func (l *Log) stream(name string) *stream {
-	s := l.streams[name]
-	if s == nil {
-		s = &stream{grown: make(chan struct{})}
-		l.streams[name] = s
-	}
-	return s
+// Put writes the newest record of a key as the operator does, regardless of faults.
+func (l *Log) Put(topic, key string, value []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.part(topic, "0")
+	data := append([]byte{byte(len(key))}, key...)
+	p.add([][]byte{append(data, value...)}, time.Now())
 }
 
-func (l *Log) expire(s *stream, now time.Time) {
-	for l.retention > 0 && len(s.entries) > 0 && now.Sub(s.entries[0].Time) > l.retention {
-		s.entries = s.entries[1:]
-		s.first++
+// Forget deletes the history of a topic; the newest record of each key stays.
+func (l *Log) Forget(topic string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.part(topic, "0")
+	p.first += uint64(len(p.records))
+	p.records = nil
+}
+
+func (l *Log) part(topic, number string) *part {
+	id := topic + "/" + number
+	p := l.parts[id]
+	if p == nil {
+		p = &part{
+			keyed: strings.HasPrefix(topic, keyedPrefix), newest: make(map[string]record),
+			producers: make(map[string]*producer), grown: make(chan struct{}),
+		}
+		l.parts[id] = p
+	}
+	if l.retention > 0 {
+		for len(p.records) > 0 && time.Since(p.records[0].at) > l.retention {
+			p.records = p.records[1:]
+			p.first++
+		}
 	}
+	return p
 }
 
-// errorDown is the status of a service that is away.
-type errorDown struct{}
+func (p *part) end() uint64 { return p.first + uint64(len(p.records)) }
 
-func (errorDown) Error() string { return "log service is away" }
+func (p *part) add(list [][]byte, now time.Time) uint64 {
+	from := p.end()
+	for _, data := range list {
+		r := record{offset: p.end(), at: now, data: data}
+		p.records = append(p.records, r)
+		if p.keyed {
+			p.renew(r)
+		}
+	}
+	close(p.grown)
+	p.grown = make(chan struct{})
+	return from
+}
 
-// errorBusy is the status of a service over its rate of appends.
-type errorBusy struct{}
+// renew makes the record the newest of its key; without a value it drops the key.
+func (p *part) renew(r record) {
+	n := 1 + int(r.data[0])
+	key := string(r.data[1:n])
+	if len(r.data) == n {
+		delete(p.newest, key)
+		return
+	}
+	p.newest[key] = record{offset: r.offset, data: r.data[n:]}
+}
 
-func (errorBusy) Error() string { return "too many appends" }
+// The refusals of the service.
+var (
+	errDown = errors.New("store is away")
+	errBusy = errors.New("too many calls")
+	errLost = errors.New("answer lost")
+)
 
-// errorLost is an answer that is lost after the effect.
-type errorLost struct{}
+// conflict reports an append whose condition does not hold.
+type conflict struct {
+	status int
+	why    string
+	value  uint64
+}
 
-func (errorLost) Error() string { return "answer lost" }
+func (e *conflict) Error() string { return "append: " + e.why }
 
-func (l *Log) enter(ctx context.Context) error {
+// enter shows the faults that hold for a caller.
+func (l *Log) enter(ctx context.Context, from string) error {
 	l.mu.Lock()
 	f := l.faults
 	l.mu.Unlock()
@@ -124,33 +195,101 @@
 		}
 	}
 	if f.Down {
-		return errorDown{}
+		return errDown
+	}
+	for _, addr := range f.Refuse {
+		if addr == from {
+			return errDown
+		}
 	}
 	return nil
 }
 
-// Append implements platform.Log.
-func (l *Log) Append(ctx context.Context, name string, rec platform.Record) (platform.Offset, error) {
-	if err := l.enter(ctx); err != nil {
-		return 0, err
+// condition is what must hold for an append.
+type condition struct {
+	at       *uint64
+	producer string
+	epoch    uint64
+	seq      uint64
+}
+
+// append adds the records all or none.
+func (l *Log) append(ctx context.Context, from, topic, number string, list [][]byte, c condition) (offset, end uint64, err error) {
+	if err := l.enter(ctx, from); err != nil {
+		return 0, 0, err
 	}
 	if !l.limiter.Allow() {
-		return 0, errorBusy{}
+		return 0, 0, errBusy
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := l.stream(name)
+	p := l.part(topic, number)
+	if known, err := p.check(c); err != nil || known != nil {
+		if known != nil {
+			return known.offset, known.end, nil
+		}
+		return 0, 0, err
+	}
+	lost := l.rnd.Float64() < l.faults.LoseShare
+	if lost && l.faults.Late > 0 {
+		time.AfterFunc(l.faults.Late, func() { l.addLate(p, list, c) })
+		return 0, 0, errLost
+	}
+	offset = l.add(p, list, c)
+	if lost {
+		return 0, 0, errLost
+	}
+	return offset, p.end(), nil
+}
+
+func (l *Log) add(p *part, list [][]byte, c condition) uint64 {
 	now := time.Now()
-	l.expire(s, now)
-	off := s.first + platform.Offset(len(s.entries))
-	s.entries = append(s.entries, platform.Entry{Offset: off, Time: now, Record: rec})
-	close(s.grown)
-	s.grown = make(chan struct{})
-	l.count(now)
-	if l.rnd.Float64() < l.faults.LoseShare {
-		return 0, errorLost{}
+	offset := p.end()
+	if len(list) > 0 {
+		p.add(list, now)
+		l.count(now)
+	}
+	if pr := p.producers[c.producer]; pr != nil && len(list) > 0 {
+		pr.next, pr.open = c.seq+1, false
+		pr.last = append(pr.last, repeat{seq: c.seq, offset: offset, end: p.end()})
+		pr.last = pr.last[max(0, len(pr.last)-keptAppends):]
+	}
+	return offset
+}
+
+// addLate carries out an append after its caller has given up, if its condition still holds.
+func (l *Log) addLate(p *part, list [][]byte, c condition) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known, err := p.check(c); known == nil && err == nil {
+		l.add(p, list, c)
+	}
+}
+
+// check returns the answer of an append that is repeated, or the conflict of one that must not be done.
+func (p *part) check(c condition) (*repeat, error) {
+	if c.producer != "" {
+		pr := p.producers[c.producer]
+		if pr == nil || c.epoch > pr.epoch {
+			pr = &producer{epoch: c.epoch, open: true}
+			p.producers[c.producer] = pr
+		}
+		if c.epoch < pr.epoch {
+			return nil, &conflict{status: 409, why: "fenced", value: pr.epoch}
+		}
+		for i := range pr.last {
+			if pr.last[i].seq == c.seq {
+				return &pr.last[i], nil
+			}
+		}
+		if !pr.open && c.seq != pr.next {
+			return nil, &conflict{status: 409, why: "seq", value: pr.next}
+		}
 	}
-	return off, nil
+	if c.at != nil && *c.at != p.end() {
+		return nil, &conflict{status: 412, why: "end", value: p.end()}
+	}
+	return nil, nil
 }
 
 func (l *Log) count(now time.Time) {
@@ -162,103 +301,51 @@
 	l.peak = max(l.peak, l.inSecond)
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from platform.Offset, wait time.Duration) (platform.Page, error) {
-	if err := l.enter(ctx); err != nil {
-		return platform.Page{}, err
+// page is what one reading returns.
+type page struct {
+	first, end uint64
+	records    []record
+}
+
+// read returns records at and after from, waiting for the first one; ok is false where records were deleted.
+func (l *Log) read(ctx context.Context, caller, topic, number string, from uint64, bytes int, wait time.Duration) (p page, ok bool, err error) {
+	if err := l.enter(ctx, caller); err != nil {
+		return page{}, false, err
 	}
 	timer := time.NewTimer(min(wait, maxWait))
 	defer timer.Stop()
 	for {
-		page, grown := l.page(name, from)
-		if len(page.Entries) > 0 || wait <= 0 {
-			return page, nil
+		p, grown, ok := l.page(topic, number, from, bytes)
+		if !ok || len(p.records) > 0 || wait <= 0 {
+			return p, ok, nil
 		}
 		select {
 		case <-ctx.Done():
-			return page, ctx.Err()
+			return p, true, ctx.Err()
 		case <-timer.C:
-			return page, nil
+			return p, true, nil
 		case <-grown:
 		}
-		if err := l.enter(ctx); err != nil {
-			return platform.Page{}, err
+		if err := l.enter(ctx, caller); err != nil {
+			return page{}, false, err
 		}
 	}
 }
 
-func (l *Log) page(name string, from platform.Offset) (platform.Page, <-chan struct{}) {
+func (l *Log) page(topic, number string, from uint64, bytes int) (page, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
-	s := l.stream(name)
-	l.expire(s, time.Now())
-	page := platform.Page{First: s.first, Next: s.first + platform.Offset(len(s.entries))}
-	if from < s.first {
-		from = s.first
-	}
-	if from < page.Next {
-		list := s.entries[from-s.first:]
-		page.Entries = append(page.Entries, list[:min(len(list), maxPage)]...)
+	p := l.part(topic, number)
+	out := page{first: p.first, end: p.end()}
+	if from < p.first {
+		return out, nil, false
 	}
-	return page, s.grown
-}
-
-// Handler returns the HTTP interface of the log, with the faults under /admin/faults.
-func (l *Log) Handler() http.Handler {
-	e := echo.New()
-	e.HideBanner = true
-	e.POST("/v1/streams/:name/records", l.handleAppend)
-	e.GET("/v1/streams/:name/records", l.handleRead)
-	e.PUT("/admin/faults", func(c echo.Context) error {
-		var f Faults
-		if err := json.NewDecoder(c.Request().Body).Decode(&f); err != nil {
-			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	for _, r := range p.records[min(len(p.records), int(from-p.first)):] {
+		if bytes -= len(r.data); bytes < 0 && len(out.records) > 0 {
+			break
 		}
-		l.SetFaults(f)
-		return c.NoContent(http.StatusNoContent)
-	})
-	e.GET("/admin/counts", func(c echo.Context) error { return c.JSON(http.StatusOK, l.Counts()) })
-	return e
-}
-
-func (l *Log) handleAppend(c echo.Context) error {
-	var rec platform.Record
-	req := c.Request()
-	req.Body = http.MaxBytesReader(c.Response(), req.Body, maxRecord)
-	if err := json.NewDecoder(req.Body).Decode(&rec); err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
-	}
-	off, err := l.Append(req.Context(), c.Param("name"), rec)
-	if err != nil {
-		return fail(err)
-	}
-	return c.JSON(http.StatusOK, struct {
-		Offset platform.Offset `json:"offset"`
-	}{off})
-}
-
-func (l *Log) handleRead(c echo.Context) error {
-	from, err := strconv.ParseUint(c.QueryParam("from"), 10, 64)
-	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, "from: "+err.Error())
-	}
-	wait, err := time.ParseDuration(c.QueryParam("wait"))
-	if err != nil {
-		return echo.NewHTTPError(http.StatusBadRequest, "wait: "+err.Error())
-	}
-	page, err := l.Read(c.Request().Context(), c.Param("name"), platform.Offset(from), wait)
-	if err != nil {
-		return fail(err)
-	}
-	return c.JSON(http.StatusOK, page)
-}
-
-// fail shows an error: a service that is away and a lost answer cut the connection.
-func fail(err error) error {
-	var busy errorBusy
-	if errors.As(err, &busy) {
-		return echo.NewHTTPError(http.StatusTooManyRequests, err.Error())
+		out.records = append(out.records, r)
 	}
-	panic(http.ErrAbortHandler)
+	return out, p.grown, true
 }
--- a/membership/engine.go
+++ b/membership/engine.go
@@ -96,6 +96,9 @@
 	return e
 }
 
+// SetSeeds replaces the addresses through which the node joins.
+func (e *Engine) SetSeeds(seeds []string) { e.seeds = seeds }
+
 // toggle adds the record to the sums or takes it out; lost nodes do not count.
 func (e *Engine) toggle(m *entry) {
 	if m.live() {
--- a/node/admin.go
+++ b/node/admin.go
@@ -32,7 +32,7 @@
 		Token:   n.cfg.Admin.Token,
 		Pprof:   n.cfg.Admin.Pprof,
 		Metrics: promhttp.HandlerFor(n.metrics.registry, promhttp.HandlerOpts{}),
-		Ready:   func() bool { return !n.stop.Load() && n.Bundle().Len() > 0 },
+		Ready:   n.ready,
 	})
 }
 
--- /dev/null
+++ b/node/contract.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/caller"
+	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/labstack/echo/v4"
+)
+
+// The contracts that a node can speak.
+const (
+	ownContract   = "own"
+	storeContract = "store"
+)
+
+// contract is how the node speaks to callers, upstreams and operators; authority and directory are nil in the product's own.
+type contract struct {
+	caller    caller.Dialect
+	upstream  upstream.Dialect
+	authority *platform.Authority
+	directory *platform.Directory
+}
+
+func newContract(cfg Settings, store http.RoundTripper) contract {
+	if cfg.Platform.Contract != storeContract {
+		return contract{caller: caller.DefaultDialect(), upstream: upstream.DefaultDialect()}
+	}
+	c := platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), store)
+	policy := platform.Policy{Floor: cfg.Retry.Floor, Retries: cfg.Retry.Ratio, Reserve: cfg.Retry.Reserve}
+	return contract{
+		caller:    platform.CallerDialect(),
+		upstream:  platform.UpstreamDialect(),
+		authority: platform.NewAuthority(c, policy),
+		directory: platform.NewDirectory(c),
+	}
+}
+
+// published reports whether versions of the bundle come from an authority outside the fleet.
+func (c *contract) published() bool { return c.authority != nil }
+
+// mountUpstreams adds the calls of upstreams to e.
+func (n *Node) mountUpstreams(e *echo.Echo) {
+	if !n.contract.published() {
+		upstream.Mount(e, n)
+		return
+	}
+	platform.MountServers(e, n, func(id string, err error) {
+		_ = level.Warn(n.logger).Log("msg", "announcement refused", "upstream", id, "err", err)
+	})
+}
+
+// ready reports whether the node takes callers.
+func (n *Node) ready() bool { return !n.stop.Load() && n.Bundle().Len() > 0 }
--- a/node/gates.go
+++ b/node/gates.go
@@ -78,6 +78,9 @@
 // Announce implements upstream.Registry.
 func (n *Node) Announce(a upstream.Announcement) (int, error) {
 	now := time.Now()
+	if err := n.accept(a); err != nil {
+		return 0, err
+	}
 	n.gates.mu.Lock()
 	g := n.gates.byID[a.ID]
 	if g == nil && len(n.gates.byID) >= maxGates {
@@ -86,7 +89,7 @@
 	}
 	changed := g == nil
 	if g == nil {
-		g = upstream.NewGate(a, classes(n.Bundle(), a.Service), now)
+		g = upstream.NewGate(a, n.contract.upstream, classes(n.Bundle(), a.Service), now)
 		n.addGate(a.ID, g)
 	}
 	n.gates.mu.Unlock()
@@ -105,6 +108,27 @@
 	return g.Running(), nil
 }
 
+// accept checks an announcement against what the node knows of the upstreams beside it, and withdraws an upstream that another has replaced at its address.
+func (n *Node) accept(a upstream.Announcement) error {
+	if want := n.cfg.Listen.Beside; want != "" && a.Address != want {
+		return errors.Errorf("address %s is not beside this node, want %s", a.Address, want)
+	}
+	if b := n.Bundle(); n.contract.published() && b.Len() > 0 && b.Service(a.Service) == nil {
+		return errors.Errorf("service %q is unknown", a.Service)
+	}
+	for _, g := range n.gates.all() {
+		old := g.Spec()
+		if old.ID == a.ID || old.Address != a.Address {
+			continue
+		}
+		if a.Incarnation < old.Incarnation {
+			return errors.Errorf("upstream %s has replaced %s at %s", old.ID, a.ID, a.Address)
+		}
+		n.Withdraw(old.ID)
+	}
+	return nil
+}
+
 // addGate starts a gate; the set is locked.
 func (n *Node) addGate(id string, g *upstream.Gate) {
 	if n.gates.stop == nil {
--- a/node/keys.go
+++ b/node/keys.go
@@ -157,7 +157,7 @@
 			return ans, err
 		}
 		j := &job{
-			id: k.ID, match: match, deadline: k.Deadline, method: k.Method,
+			id: k.ID, match: match, deadline: k.Deadline, keyed: true, method: k.Method,
 			uri: k.URI, host: k.Host, header: k.Header, body: body,
 		}
 		ans, err := n.runKeyed(ctx, j, k.Key)
--- a/node/logs.go
+++ b/node/logs.go
@@ -216,6 +216,9 @@
 
 // logPositions returns how far the node has read; the engines are locked.
 func (n *Node) logPositions() []peer.Position {
+	if n.contract.published() {
+		return []peer.Position{{Stream: publishedStream, Next: platform.Offset(n.rollout.Version())}}
+	}
 	return []peer.Position{
 		{Stream: rollout.Stream, Next: n.mirrors[rollout.Stream].Next()},
 		{Stream: ownership.Stream, Next: n.mirrors[ownership.Stream].Next()},
@@ -261,6 +264,7 @@
 	for _, p := range b.Positions {
 		m := n.mirrors[p.Stream]
 		behind = behind || m != nil && m.Next() < p.Next
+		behind = behind || p.Stream == publishedStream && n.contract.published() && n.rollout.Version() < uint64(p.Next)
 	}
 	if m, ok := n.members.Member(b.Message.Name); ok && address == "" {
 		address = m.Address
@@ -300,6 +304,10 @@
 	n.mu.Lock()
 	if lack.Bundle != nil {
 		ok, err := n.rollout.Adopt(*lack.Bundle)
+		if ok && lack.Bundle.Published {
+			version := n.rollout.Version()
+			defer func() { n.published(version, "peer") }()
+		}
 		if ok {
 			n.mirrors[rollout.Stream].Jump(n.rollout.Next())
 		}
@@ -322,6 +330,9 @@
 	defer n.mu.Unlock()
 	var lack peer.Lack
 	for _, p := range at {
+		if p.Stream == publishedStream && n.rollout.Version() > uint64(p.Next) {
+			n.addState(&lack, p.Stream)
+		}
 		m := n.mirrors[p.Stream]
 		if m == nil {
 			continue
--- a/node/members.go
+++ b/node/members.go
@@ -172,7 +172,9 @@
 	n.metrics.members.Set(float64(len(v.live)))
 	n.updateLanes(v)
 	for _, c := range changes {
-		n.lookAtSuspects(c)
+		if !n.contract.published() {
+			n.lookAtSuspects(c)
+		}
 	}
 }
 
@@ -234,13 +236,17 @@
 				Tier:  n.tier(m),
 				Slots: u.Slots,
 				Ready: m.Status == membership.Alive && u.State != membership.Draining,
+
+				Suspect: u.Suspect,
 			}
 			byService[u.Service] = append(byService[u.Service], r)
 		}
 	}
 	now := time.Now()
+	share := n.Bundle().Policy().Reserve() / float64(max(1, len(v.live)))
 	for name, l := range *n.lanes.Load() {
 		l.mu.Lock()
+		l.budget.SetReserve(share)
 		l.group.Update(now, byService[name])
 		l.mu.Unlock()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,10 @@
 	metrics *metrics
 	lns     listeners
 
+	contract contract
+	splits   sync.Map               // *split by route
+	service  atomic.Pointer[string] // of the upstreams beside the node, as the settings say
+
 	mu        sync.Mutex // guards the engines below
 	members   *membership.Engine
 	rollout   *rollout.Engine
@@ -66,7 +70,7 @@
 }
 
 type listeners struct {
-	caller, peer, upstream, admin net.Listener
+	caller, peer, upstream, admin, ready net.Listener
 }
 
 // New returns a node that listens on its addresses and does not serve yet.
@@ -78,6 +82,8 @@
 	if n.store == nil {
 		n.store = platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), opt.Store)
 	}
+	n.service.Store(&cfg.Service)
+	n.contract = newContract(cfg, opt.Store)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -95,6 +101,9 @@
 	}
 	n.members = membership.New(now, self, cfg.Peers.Seeds, rand.New(rand.NewPCG(seed, uint64(len(cfg.Name)))))
 	n.rollout = rollout.New(cfg.DataCentre, cfg.keys())
+	if n.contract.published() {
+		n.rollout.FollowAuthority()
+	}
 	n.owners = ownership.New(now, ownerNode(self), ownership.Policy{})
 	n.mirrors = map[string]*platform.Mirror{rollout.Stream: {}, ownership.Stream: {}}
 	n.positions = make(map[string][]peer.Position)
@@ -123,7 +132,11 @@
 		{"listen.peer", n.cfg.Listen.Peer, &n.lns.peer},
 		{"listen.upstream", n.cfg.Listen.Upstream, &n.lns.upstream},
 		{"listen.admin", n.cfg.Listen.Admin, &n.lns.admin},
+		{"listen.ready", n.cfg.Listen.Ready, &n.lns.ready},
 	} {
+		if l.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			n.closeListeners()
@@ -135,7 +148,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, ln := range []net.Listener{n.lns.caller, n.lns.peer, n.lns.upstream, n.lns.admin} {
+	for _, ln := range []net.Listener{n.lns.caller, n.lns.peer, n.lns.upstream, n.lns.admin, n.lns.ready} {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -165,18 +178,21 @@
 
 // servers are the HTTP servers of one node.
 type servers struct {
-	caller, peer, upstream, admin *http.Server
+	caller, peer, upstream, admin, ready *http.Server
 }
 
 func (n *Node) newServers() servers {
 	callers := echo.New()
-	caller.Mount(callers, n, int64(n.cfg.Limits.Body))
+	caller.Mount(callers, n.contract.caller, n, int64(n.cfg.Limits.Body))
 	ups := echo.New()
-	upstream.Mount(ups, n)
+	n.mountUpstreams(ups)
+	ready := echo.New()
+	platform.MountReady(ready, n.ready)
 	return servers{
 		caller:   n.server(n.receive(callers), true),
 		peer:     n.server(n.peerHandler(), true),
 		upstream: n.server(ups, false),
 		admin:    n.server(n.adminHandler(), false),
+		ready:    n.server(ready, false),
 	}
 }
--- /dev/null
+++ b/node/reload.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/go-kit/log/level"
+)
+
+// watchEvery is the interval at which the settings file is looked at for a change without a signal.
+const watchEvery = 2 * time.Second
+
+// Watch reloads the settings file after a signal and after the file has changed, until ctx ends.
+func (n *Node) Watch(ctx context.Context, file string, signals <-chan os.Signal) {
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	last := stamp(file)
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			signalled = true
+		case <-t.C:
+		}
+		now := stamp(file)
+		if !signalled && now == last {
+			continue
+		}
+		last = now
+		n.reload(file, signalled)
+	}
+}
+
+// fileStamp tells one state of a file from another.
+type fileStamp struct {
+	changed time.Time
+	size    int64
+}
+
+func stamp(file string) fileStamp {
+	info, err := os.Stat(file)
+	if err != nil {
+		return fileStamp{}
+	}
+	return fileStamp{changed: info.ModTime(), size: info.Size()}
+}
+
+// reload puts in force what may change while the node runs; bad settings leave the old ones in force.
+func (n *Node) reload(file string, signalled bool) {
+	cfg, err := LoadSettings(file)
+	if err != nil {
+		_ = level.Error(n.logger).Log("msg", "reload refused", "file", file, "signal", signalled, "err", err)
+		return
+	}
+	n.service.Store(&cfg.Service)
+	_ = level.Info(n.logger).Log("msg", "reloaded", "file", file, "signal", signalled, "service", cfg.Service)
+}
--- a/node/run.go
+++ b/node/run.go
@@ -58,7 +58,7 @@
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	s := n.newServers()
-	failed := make(chan error, 4)
+	failed := make(chan error, 5)
 	serve := func(srv *http.Server, ln net.Listener) {
 		n.running.Add(1)
 		go func() {
@@ -71,6 +71,9 @@
 	serve(s.peer, n.lns.peer)
 	serve(s.upstream, n.lns.upstream)
 	serve(s.admin, n.lns.admin)
+	if n.lns.ready != nil {
+		serve(s.ready, n.lns.ready)
+	}
 	serve(s.caller, n.lns.caller)
 	n.membersChanged(nil)
 	n.startLoops(base)
@@ -83,7 +86,7 @@
 	case err = <-failed:
 	}
 	cancel()
-	for _, srv := range []*http.Server{s.caller, s.peer, s.upstream, s.admin} {
+	for _, srv := range []*http.Server{s.caller, s.peer, s.upstream, s.admin, s.ready} {
 		_ = srv.Close()
 	}
 	n.stopGates()
@@ -94,9 +97,14 @@
 
 func (n *Node) startLoops(ctx context.Context) {
 	n.loop(ctx, tickEvery, n.tick)
-	n.loop(ctx, ownersEvery, n.tickOwners)
 	n.loop(ctx, evaluateEvery, n.evaluate)
 	n.loop(ctx, sweepEvery, n.sweepGates)
+	if n.contract.published() {
+		n.spawn(func() { n.join(ctx) })
+		n.spawn(func() { n.follow(ctx) })
+		return
+	}
+	n.loop(ctx, ownersEvery, n.tickOwners)
 	n.loop(ctx, snapshotCheck, n.snapshots)
 	for stream := range n.mirrors {
 		n.spawn(func() { n.tail(ctx, stream) })
@@ -140,9 +148,12 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Limits.Drain.Std())
 	defer cancel()
-	time.Sleep(n.cfg.Limits.Lame.Std())
+	n.leaveDirectory(ctx)
+	n.sleep(ctx, n.cfg.Limits.Lame.Std())
 	_ = s.caller.Shutdown(ctx)
-	n.leaveShards(ctx)
+	if !n.contract.published() {
+		n.leaveShards(ctx)
+	}
 	n.await(ctx, func() bool { return n.gates.running() == 0 })
 	n.mu.Lock()
 	n.members.SetStatus(time.Now(), membership.Left)
@@ -193,7 +204,9 @@
 // receive holds callers back until the node has a bundle and asks them to reconnect elsewhere while it stops.
 func (n *Node) receive(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.awaitBundle(r.Context())
+		if !n.contract.published() {
+			n.awaitBundle(r.Context())
+		}
 		if n.stop.Load() {
 			w.Header().Set("Connection", "close")
 		}
--- a/node/serve.go
+++ b/node/serve.go
@@ -19,7 +19,8 @@
 
 // Parameters of attempts.
 const (
-	maxAttempts  = 4                      // attempts of one request, refused ones included
+	maxAttempts  = 8                      // attempts of one request, refused ones included
+	maxSent      = 4                      // upstreams that one request may be sent to where its route does not say
 	hedgeRatio   = 3                      // ratio to the group's mean after which a second attempt starts
 	hedgeMin     = 60 * time.Millisecond  // least time before a second attempt starts
 	askAfter     = 500 * time.Millisecond // time after which the node of a silent upstream is asked for its state
@@ -34,6 +35,8 @@
 	id       string
 	match    bundle.Match
 	deadline time.Time
+	origin   string
+	keyed    bool
 	method   string
 	uri      string
 	host     string
@@ -45,22 +48,33 @@
 
 // Serve implements caller.Fleet.
 func (n *Node) Serve(ctx context.Context, r *caller.Request) (*upstream.Answer, error) {
+	n.divide(r)
 	j := &job{
 		id:       r.ID,
+		origin:   n.origin(),
 		match:    r.Match,
 		deadline: r.Deadline,
 		method:   r.HTTP.Method,
-		uri:      r.HTTP.URL.RequestURI(),
+		uri:      r.HTTP.RequestURI,
 		host:     r.HTTP.Host,
 		header:   caller.CleanHeader(r.HTTP.Header),
 		body:     r.Body,
 	}
 	if j.once() && r.Key != "" {
+		j.keyed = true
 		return n.serveKeyed(ctx, j, r)
 	}
 	return n.run(ctx, j)
 }
 
+// origin returns the service on whose instance the node runs: that of the upstream beside it, or the one in the settings before it announces itself.
+func (n *Node) origin() string {
+	for _, g := range n.gates.all() {
+		return g.Spec().Service
+	}
+	return *n.service.Load()
+}
+
 // try is one attempt that ended.
 type try struct {
 	choice routing.Choice
@@ -76,6 +90,7 @@
 	lane     *lane
 	class    int
 	tried    []string
+	sent     int // attempts that may have reached an upstream
 	pending  int
 	results  chan try
 	cancels  []context.CancelFunc
@@ -119,7 +134,7 @@
 				return r.finish(t)
 			}
 		case <-hedge.C:
-			if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.take() {
+			if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.sent < r.limit() && r.take() {
 				_ = r.launch(ctx, true) // the first attempt goes on alone
 			}
 		}
@@ -150,6 +165,7 @@
 		return outcome.NewError(outcome.NotRun, outcome.CodeExpired, nil)
 	}
 	q := routing.Query{
+		Once:    r.job.once(),
 		Class:   r.class,
 		Exclude: r.tried,
 		Far:     r.job.match.Class.Spill() && r.n.linkOpen(),
@@ -163,11 +179,12 @@
 		return noUpstream(err)
 	}
 	r.tried = append(r.tried, choice.ID)
+	r.sent++
 	r.pending++
 	actx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
 	a := r.attempt(len(r.tried))
-	a.Usual = usual
+	a.Usual, a.Forced = usual, choice.Forced
 	go func() {
 		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
 		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel}
@@ -188,8 +205,11 @@
 	j := r.job
 	return &upstream.Attempt{
 		ID:       fmt.Sprintf("%s.%d", j.id, number),
+		Request:  j.id,
+		Origin:   j.origin,
 		Class:    j.match.Class.Name(),
 		Deadline: j.deadline,
+		Bound:    j.keyed,
 		Method:   j.method,
 		URI:      j.uri,
 		Host:     j.host,
@@ -208,12 +228,18 @@
 // again reports whether the result of an attempt allows another one.
 func (r *race) again(t try) bool {
 	r.doubtful = r.doubtful || t.err == nil || mayHaveRun(t.err)
+	if free(t.err) {
+		r.sent--
+	}
 	if len(r.tried) >= maxAttempts || !r.job.body.Available() {
 		return false
 	}
 	if free(t.err) {
 		return true
 	}
+	if r.sent >= r.limit() {
+		return false
+	}
 	if notRun(t.err) || !r.job.once() {
 		return r.take()
 	}
@@ -228,7 +254,15 @@
 	}
 	var e *outcome.Error
 	return errors.As(err, &e) && e.Outcome == outcome.NotRun &&
-		(e.Code == outcome.CodeOverload || e.Code == outcome.CodeDraining || e.Code == outcome.CodeNoBundle)
+		(e.Code == outcome.CodeOverload || e.Code == outcome.CodeDraining || e.Code == outcome.CodeNoBundle || e.Code == outcome.CodeSuspect)
+}
+
+// limit returns how many upstreams the request may be sent to.
+func (r *race) limit() int {
+	if n := r.job.match.Attempts(); n > 0 {
+		return n
+	}
+	return maxSent
 }
 
 func mayHaveRun(err error) bool {
@@ -370,7 +404,7 @@
 	var o routing.Observation
 	if ans != nil && ans.Load != "" {
 		if load, perr := upstream.ParseLoad(ans.Load); perr == nil {
-			o.Reported, o.Load, o.Evidence, o.Whole = true, load.Load, load.Class, load.Whole
+			o.Reported, o.Load, o.Evidence, o.Whole, o.Sick = true, load.Load, load.Class, load.Whole, load.Sick
 		}
 	}
 	var path *peer.PathError
@@ -409,7 +443,7 @@
 		l.group.Avoid(time.Now(), c.ID)
 		return errors.Errorf("node %s does not answer", c.Node)
 	}
-	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Class, Whole: load.Whole, Reported: true})
+	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Class, Whole: load.Whole, Sick: load.Sick, Reported: true})
 	return nil
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -13,10 +13,12 @@
 	Name       string           `toml:"name"`
 	Region     string           `toml:"region"`
 	DataCentre string           `toml:"data_centre"`
+	Service    string           `toml:"service"` // of the upstreams beside the node
 	Listen     listenSettings   `toml:"listen"`
 	Peers      peerSettings     `toml:"peers"`
 	Platform   platformSettings `toml:"platform"`
 	Trust      trustSettings    `toml:"trust"`
+	Retry      retrySettings    `toml:"retry"`
 	Admin      adminSettings    `toml:"admin"`
 	Limits     limitSettings    `toml:"limits"`
 	Log        logSettings      `toml:"log"`
@@ -27,6 +29,8 @@
 	Peer     string `toml:"peer"`
 	Upstream string `toml:"upstream"`
 	Admin    string `toml:"admin"`
+	Beside   string `toml:"beside"` // the only address at which upstreams may announce themselves; empty for any
+	Ready    string `toml:"ready"`  // answers whether the node takes callers; may be empty
 }
 
 type peerSettings struct {
@@ -34,8 +38,10 @@
 }
 
 type platformSettings struct {
-	Log     string           `toml:"log"`
-	Timeout setting.Duration `toml:"timeout"`
+	Log string `toml:"log"`
+	// Contract is "own", or "store" where callers, upstreams and operators speak the platform's contract.
+	Contract string           `toml:"contract"`
+	Timeout  setting.Duration `toml:"timeout"`
 
 	Snapshot setting.Duration `toml:"snapshot"`
 }
@@ -44,6 +50,13 @@
 	Keys []string `toml:"keys"`
 }
 
+// retrySettings are used where the bundle does not hold them.
+type retrySettings struct {
+	Ratio   float64 `toml:"ratio"`   // retries for each request
+	Reserve float64 `toml:"reserve"` // retries that the whole fleet may save up for each service
+	Floor   float64 `toml:"floor"`   // share of upstreams that ejection leaves in service
+}
+
 type adminSettings struct {
 	Token string `toml:"token"`
 	Pprof bool   `toml:"pprof"`
@@ -77,6 +90,8 @@
 	defaultDrain         = 20 * time.Second
 	defaultLame          = time.Second
 	defaultHeaderTimeout = 5 * time.Second
+	defaultRetries       = 0.1
+	defaultFloor         = 0.7
 )
 
 // DefaultSettings returns settings in which only names, addresses and keys are missing.
@@ -85,7 +100,9 @@
 		Platform: platformSettings{
 			Timeout:  setting.Duration(defaultLogTimeout),
 			Snapshot: setting.Duration(defaultSnapshot),
+			Contract: ownContract,
 		},
+		Retry: retrySettings{Ratio: defaultRetries, Floor: defaultFloor},
 		Limits: limitSettings{
 			Header:        defaultHeader,
 			Body:          defaultBody,
@@ -124,13 +141,25 @@
 			out = append(out, setting.NewProblem("trust.keys", "%v", err))
 		}
 	}
-	if len(s.Trust.Keys) == 0 {
+	if s.Platform.Contract != ownContract && s.Platform.Contract != storeContract {
+		out = append(out, setting.NewProblem("platform.contract", "is %q, want %q or %q", s.Platform.Contract, ownContract, storeContract))
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
+		out = append(out, setting.NewProblem("retry.ratio", "is %g, want 0 to 1", s.Retry.Ratio))
+	}
+	if s.Retry.Reserve < 0 {
+		out = append(out, setting.NewProblem("retry.reserve", "is %g, want at least 0", s.Retry.Reserve))
+	}
+	if s.Retry.Floor < 0 || s.Retry.Floor > 1 {
+		out = append(out, setting.NewProblem("retry.floor", "is %g, want 0 to 1", s.Retry.Floor))
+	}
+	if len(s.Trust.Keys) == 0 && s.Platform.Contract == ownContract {
 		out = append(out, setting.NewProblem("trust.keys", "is empty, so that no bundle could be signed off"))
 	}
 	if s.Platform.Snapshot <= 0 {
 		out = append(out, setting.NewProblem("platform.snapshot", "is %v, want more than 0", s.Platform.Snapshot.Std()))
 	}
-	if s.Limits.Keys < 1 {
+	if s.Limits.Keys < 1 && s.Platform.Contract == ownContract {
 		out = append(out, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
 	}
 	if s.Limits.Events < 0 {
@@ -142,10 +171,14 @@
 func (s *Settings) checkAddresses() []setting.Problem {
 	var out []setting.Problem
 	seen := make(map[string]string)
-	for _, a := range []struct{ key, value string }{
+	list := []struct{ key, value string }{
 		{"listen.caller", s.Listen.Caller}, {"listen.peer", s.Listen.Peer},
 		{"listen.upstream", s.Listen.Upstream}, {"listen.admin", s.Listen.Admin},
-	} {
+	}
+	if s.Listen.Ready != "" {
+		list = append(list, struct{ key, value string }{"listen.ready", s.Listen.Ready})
+	}
+	for _, a := range list {
 		addr, err := netip.ParseAddrPort(a.value)
 		switch {
 		case err != nil:
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -33,6 +33,7 @@
 	CodeDraining   Code = "draining"
 	CodeNoUpstream Code = "no-upstream"
 	CodeShed       Code = "shed"
+	CodeSuspect    Code = "suspect"
 	CodeUpstream   Code = "upstream-failed"
 	CodeTimeout    Code = "timeout"
 	CodeTruncated  Code = "truncated"
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -31,6 +31,9 @@
 	hopKey      = "Hop-Key"
 	hopFresh    = "Hop-Fresh"
 	hopCaller   = "Hop-Caller"
+	hopRequest  = "Hop-Request"
+	hopOrigin   = "Hop-Origin"
+	hopForced   = "Hop-Forced"
 )
 
 // maxSkew is the difference of clocks that a forwarded deadline tolerates.
@@ -126,10 +129,11 @@
 	if a.Length != 0 && a.Body != nil {
 		body = struct{ io.Reader }{a.Body}
 	}
-	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+address+a.URI, body)
+	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+address, body)
 	if err != nil {
 		return nil, err
 	}
+	req.URL.Opaque = a.URI // sent as the caller wrote it
 	if a.Length >= 0 {
 		req.ContentLength = a.Length
 	}
@@ -145,11 +149,20 @@
 	req.Host = a.Host
 	req.Header.Set(hopClass, a.Class)
 	req.Header.Set(hopAttempt, a.ID)
-	req.Header.Set(hopDeadline, strconv.FormatInt(a.Deadline.UnixMicro(), 10))
+	if a.Bound {
+		req.Header.Set(hopDeadline, strconv.FormatInt(a.Deadline.UnixMicro(), 10))
+	}
 	req.Header.Set(hopTimeout, strconv.FormatInt(time.Until(a.Deadline).Microseconds(), 10))
 	if a.Once {
 		req.Header.Set(hopOnce, "1")
 	}
+	if a.Forced {
+		req.Header.Set(hopForced, "1")
+	}
+	if a.Origin != "" {
+		req.Header.Set(hopOrigin, a.Origin)
+	}
+	req.Header.Set(hopRequest, a.Request)
 	if a.Usual > 0 {
 		req.Header.Set(hopUsual, strconv.FormatInt(a.Usual.Microseconds(), 10))
 	}
@@ -223,14 +236,16 @@
 	if err != nil {
 		return nil, errors.Wrap(err, hopTimeout)
 	}
-	abs, err := strconv.ParseInt(h.Get(hopDeadline), 10, 64)
-	if err != nil {
-		return nil, errors.Wrap(err, hopDeadline)
-	}
-	now := time.Now()
-	deadline := now.Add(time.Duration(us) * time.Microsecond)
-	if limit := time.UnixMicro(abs).Add(maxSkew); limit.Before(deadline) {
-		deadline = limit // the sender was paused between reading the clock and sending
+	deadline := time.Now().Add(time.Duration(us) * time.Microsecond)
+	bound := h.Get(hopDeadline) != ""
+	if bound {
+		abs, err := strconv.ParseInt(h.Get(hopDeadline), 10, 64)
+		if err != nil {
+			return nil, errors.Wrap(err, hopDeadline)
+		}
+		if limit := time.UnixMicro(abs).Add(maxSkew); limit.Before(deadline) {
+			deadline = limit // the sender was paused between reading the clock and sending
+		}
 	}
 	usual, err := strconv.ParseInt(h.Get(hopUsual), 10, 64)
 	if err != nil || usual < 0 {
@@ -240,8 +255,12 @@
 		ID:       h.Get(hopAttempt),
 		Class:    h.Get(hopClass),
 		Deadline: deadline,
+		Bound:    bound,
 		Method:   req.Method,
-		URI:      req.URL.RequestURI(),
+		URI:      req.RequestURI,
+		Request:  h.Get(hopRequest),
+		Origin:   h.Get(hopOrigin),
+		Forced:   h.Get(hopForced) != "",
 		Host:     req.Host,
 		Header:   h,
 		Body:     req.Body,
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -58,6 +58,9 @@
 	order   []string // open proposals, oldest first
 	fates   []Fate
 	next    platform.Offset
+
+	authority bool // versions published outside the fleet are taken from other nodes
+	published bool // the newest version was published outside the fleet
 }
 
 // New returns an engine of a node in the data centre that trusts the given keys.
@@ -267,7 +270,7 @@
 
 // State returns the whole state for a snapshot or for a node that starts.
 func (e *Engine) State() State {
-	st := State{Head: e.last, Entries: e.head.Entries(), Offset: uint64(e.next), Open: e.Open()}
+	st := State{Published: e.published, Head: e.last, Entries: e.head.Entries(), Offset: uint64(e.next), Open: e.Open()}
 	if e.before != nil {
 		back := e.head.Diff(e.before)
 		st.Back = &back
@@ -275,11 +278,43 @@
 	return st
 }
 
+// Publish takes a version from an authority outside the fleet, which needs no signatures and whose versions only rise; it reports whether the version was newer.
+func (e *Engine) Publish(version uint64, b *bundle.Bundle) bool {
+	if version <= e.last.Version {
+		return false
+	}
+	e.head, e.before = b, nil
+	e.last = Step{Version: version, Delta: bundle.Delta{Result: b.Digest()}}
+	e.published = true
+	return true
+}
+
+// FollowAuthority makes the engine take published versions from other nodes, too.
+func (e *Engine) FollowAuthority() { e.authority = true }
+
+// adoptPublished takes a version of the authority that another node passes on.
+func (e *Engine) adoptPublished(st State) (bool, error) {
+	if !e.authority {
+		return false, &SignoffError{id: "published", need: 1}
+	}
+	b, err := bundle.FromEntries(st.Entries)
+	if err != nil {
+		return false, err
+	}
+	if b.Digest() != st.Head.Delta.Result {
+		return false, &DigestError{version: st.Head.Version}
+	}
+	return e.Publish(st.Head.Version, b), nil
+}
+
 // Adopt takes the whole state of another node where it is newer; the state must carry the signatures of its newest step.
 func (e *Engine) Adopt(st State) (bool, error) {
 	if st.Head.Version <= e.last.Version {
 		return false, nil
 	}
+	if st.Published {
+		return e.adoptPublished(st)
+	}
 	head, err := bundle.FromEntries(st.Entries)
 	if err != nil {
 		return false, err
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -71,6 +71,8 @@
 	Back    *bundle.Delta  `json:"back,omitempty"` // from the head to what is in force elsewhere
 	Offset  uint64         `json:"offset"`         // records before it are part of the state
 	Open    []Step         `json:"open,omitempty"`
+
+	Published bool `json:"published,omitempty"` // the version comes from an authority outside the fleet and bears no signatures
 }
 
 // Stream is the name of the log stream that holds the records.
--- a/routing/group.go
+++ b/routing/group.go
@@ -15,20 +15,26 @@
 
 // Parameters of the choice.
 const (
-	maxSubset    = 32                     // upstreams of one service that a node routes to
-	choices      = 2                      // candidates compared for a request
-	loadDecay    = 500 * time.Millisecond // time constant with which a reported load is forgotten
-	refusalAge   = 75 * time.Millisecond  // span for which a reported refusal is believed
-	spillLoad    = 0.9                    // load for each slot above which the next tier is tried
-	farPenalty   = 0.6                    // load added for each tier of distance
-	rampTime     = 5 * time.Second        // time until a new upstream has its full share
-	rampStart    = 0.1                    // share of a new upstream
-	trialShare   = 0.03                   // share of its fair load that an upstream on trial gets
-	failWeight   = 10.0                   // weight of the failure share in the score
-	maxSlowness  = 20.0                   // bound of the slowness in the score
-	firstAvoid   = time.Second            // time for which a node is avoided after a path failure
-	maxAvoid     = 30 * time.Second       // longest time for which a node is avoided
-	meanInterval = 50 * time.Millisecond  // interval at which the group's mean is renewed
+	maxSubset     = 32                     // upstreams of one service that a node routes to
+	choices       = 2                      // candidates compared for a request
+	loadDecay     = 500 * time.Millisecond // time constant with which a reported load is forgotten
+	refusalAge    = 75 * time.Millisecond  // span for which a reported refusal is believed
+	spillLoad     = 0.9                    // load for each slot above which the next tier is tried
+	farPenalty    = 0.6                    // load added for each tier of distance
+	rampTime      = 5 * time.Second        // time until a new upstream has its full share
+	rampStart     = 0.1                    // share of a new upstream
+	trialShare    = 0.03                   // share of its fair load that an upstream on trial gets
+	failWeight    = 10.0                   // weight of the failure share in the score
+	maxSlowness   = 20.0                   // bound of the slowness in the score
+	firstAvoid    = time.Second            // time for which a node is avoided after a path failure
+	maxAvoid      = 30 * time.Second       // longest time for which a node is avoided
+	sickBar       = 0.3                    // belief in sickness above which an upstream gets trials only
+	forceBar      = 0.7                    // belief above which it gets no work that must not run twice, whatever else there is
+	suspectBelief = 0.7                    // belief in the sickness of an upstream that its gate suspects
+	clearedBelief = 0.1                    // belief after the gate has withdrawn its suspicion
+	sickTrial     = 0.12                   // share of the work that may be repeated that a sick upstream gets
+	maxTrials     = 0.4                    // share that all sick upstreams get together
+	meanInterval  = 50 * time.Millisecond  // interval at which the group's mean is renewed
 )
 
 // Tier is the distance of an upstream.
@@ -49,6 +55,8 @@
 	Tier  Tier
 	Slots int
 	Ready bool
+
+	Suspect bool // its gate holds it for sick
 }
 
 // Choice is the upstream chosen for one attempt.
@@ -57,6 +65,8 @@
 	Node  string
 	Tier  Tier
 	Trial bool
+
+	Forced bool // no upstream in better health is known
 }
 
 // Refusal says why no upstream was chosen.
@@ -82,6 +92,7 @@
 
 // Query describes an attempt to be routed.
 type Query struct {
+	Once    bool // the work must not run twice
 	Class   int
 	Exclude []string // upstreams that earlier attempts used
 	Far     bool     // another region may be used
@@ -94,6 +105,7 @@
 	Reported bool           // an answer with load and evidence arrived
 	Evidence outlier.Report // on the class of the attempt
 	Whole    outlier.Report // on all classes
+	Sick     float64        // belief of the gate that the upstream is sick
 	PathLost bool           // the node of the upstream could not be reached or did not answer
 }
 
@@ -107,6 +119,8 @@
 	refusing  uint32
 	refusedAt time.Time
 	rampFrom  time.Time
+	sick      float64 // belief of its gate at sickAt
+	sickAt    time.Time
 	avoid     time.Time
 	avoidFor  time.Duration
 }
@@ -120,7 +134,8 @@
 	byID     map[string]*endpoint
 	eligible [][tiers][]*endpoint // by class
 	trying   [][]*endpoint        // by class
-	means    []float64            // by class
+	ready    []*endpoint
+	means    []float64 // by class
 	meansAt  time.Time
 	started  bool
 }
@@ -179,9 +194,28 @@
 	if u.Node != e.Node {
 		e.avoid, e.avoidFor = time.Time{}, 0
 	}
+	e.hear(now, u.Suspect)
 	e.Upstream = u
 }
 
+// hear takes what the gate tells all nodes of the health of its upstream, where that changed.
+func (e *endpoint) hear(now time.Time, suspect bool) {
+	switch {
+	case suspect && (!e.Suspect || e.ID == ""):
+		e.sick, e.sickAt = max(suspectBelief, e.health(now)), now
+	case !suspect && e.Suspect:
+		e.sick, e.sickAt = min(clearedBelief, e.health(now)), now
+	}
+}
+
+// health returns the belief at now that the upstream is sick.
+func (e *endpoint) health(now time.Time) float64 {
+	if e.sickAt.IsZero() {
+		return 0
+	}
+	return outlier.Fade(e.sick, now.Sub(e.sickAt))
+}
+
 // subset keeps at most maxSubset upstreams: near ones first, then those that rank highest for this node.
 func (g *Group) subset(list []Upstream) []Upstream {
 	if len(list) <= maxSubset {
@@ -211,6 +245,7 @@
 func (g *Group) index() {
 	g.eligible = make([][tiers][]*endpoint, g.classes)
 	g.trying = make([][]*endpoint, g.classes)
+	g.ready = g.ready[:0]
 	ids := make([]string, 0, len(g.byID))
 	for id := range g.byID {
 		ids = append(ids, id)
@@ -221,6 +256,7 @@
 		if !e.Ready {
 			continue
 		}
+		g.ready = append(g.ready, e)
 		for c := range g.classes {
 			switch g.status(id, c) {
 			case outlier.Serving:
@@ -249,7 +285,11 @@
 
 // Pick chooses the upstream for one attempt and counts it as running; the error is an *Error.
 func (g *Group) Pick(now time.Time, q Query, rnd *rand.Rand) (Choice, error) {
-	if e := g.trial(now, q, rnd); e != nil {
+	e := g.sickTrial(now, q, rnd)
+	if e == nil {
+		e = g.trial(now, q, rnd)
+	}
+	if e != nil {
 		e.own++
 		return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Trial: true}, nil
 	}
@@ -270,6 +310,12 @@
 			break
 		}
 	}
+	if best == nil && !q.Spare {
+		if e := g.last(now, q, last); e != nil {
+			e.own++
+			return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Forced: true}, nil
+		}
+	}
 	if best == nil || q.Spare && score > spillLoad {
 		reason := NoUpstream
 		if refused || best != nil {
@@ -281,6 +327,37 @@
 	return Choice{ID: best.ID, Node: best.Node, Tier: best.Tier}, nil
 }
 
+// sickTrial returns a sick upstream for a small share of the requests that may be repeated, which finds out when it is well again.
+func (g *Group) sickTrial(now time.Time, q Query, rnd *rand.Rand) *endpoint {
+	if q.Once || len(q.Exclude) > 0 {
+		return nil
+	}
+	var list []*endpoint
+	for _, e := range g.ready {
+		if e.Tier < OtherRegion && e.own == 0 && !now.Before(e.avoid) && e.health(now) > sickBar {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 || rnd.Float64() >= min(maxTrials, sickTrial*float64(len(list))) {
+		return nil
+	}
+	return list[rnd.IntN(len(list))]
+}
+
+// last returns the upstream in the best health where none is well; work that must not run twice goes to a sick one only where there is no other.
+func (g *Group) last(now time.Time, q Query, last Tier) *endpoint {
+	var best *endpoint
+	for _, e := range g.ready {
+		if e.Tier > last || now.Before(e.avoid) || slices.Contains(q.Exclude, e.ID) || e.refuses(now, q.Class) || q.Once && len(g.ready) > 1 && e.health(now) > forceBar {
+			continue
+		}
+		if best == nil || e.health(now) < best.health(now) {
+			best = e
+		}
+	}
+	return best
+}
+
 // trial returns an upstream on trial for a small share of the requests that may be repeated.
 func (g *Group) trial(now time.Time, q Query, rnd *rand.Rand) *endpoint {
 	list := g.trying[q.Class]
@@ -318,7 +395,7 @@
 func scan(now time.Time, q Query, list []*endpoint, start int, skip *endpoint) (e *endpoint, refused bool) {
 	for i := range list {
 		e = list[(start+i)%len(list)]
-		if e == skip || now.Before(e.avoid) || slices.Contains(q.Exclude, e.ID) {
+		if e == skip || now.Before(e.avoid) || e.health(now) > sickBar || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
 		if e.refuses(now, q.Class) {
@@ -393,6 +470,7 @@
 	e.load = float64(o.Load.Running + o.Load.Queued)
 	e.ownAtLoad = e.own
 	e.loadAt = now
+	e.sick, e.sickAt = o.Sick, now
 	e.limit = o.Load.Limit
 	e.refusing, e.refusedAt = o.Load.Refusing, now
 	g.detector.Report(now, id, class, o.Evidence)
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -40,6 +40,18 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	State       State  `json:"state"`
+
+	Incarnation uint64        `json:"incarnation,omitempty"` // rises with each start of a process at the address
+	Seq         uint64        `json:"seq,omitempty"`         // rises with each announcement of an incarnation
+	Warming     time.Duration `json:"warming,omitempty"`     // nanoseconds for which the upstream stays slow
+}
+
+// before reports whether the announcement was made before o.
+func (a *Announcement) before(o Announcement) bool {
+	if a.Incarnation != o.Incarnation {
+		return a.Incarnation < o.Incarnation
+	}
+	return a.Seq < o.Seq
 }
 
 // Receipt answers an announcement.
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -4,10 +4,9 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
+	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,32 +16,28 @@
 	"github.com/pkg/errors"
 )
 
-// Headers of the contract with upstreams.
-const (
-	AttemptHeader  = "Attempt-Id"       // sent with a request and repeated in its answer
-	TimeoutHeader  = "Request-Timeout"  // milliseconds left for the work
-	DeadlineHeader = "Request-Deadline" // milliseconds since 1970 after which the work must not start
-	keyHeader      = "Idempotency-Key"
-	ShedHeader     = "Shed" // reason for which the upstream did not start the work
-)
-
 // Parameters of the exchange with an upstream.
 const (
 	wholeAnswer    = 64 << 10               // bytes of an answer that are read whole before it is passed on
-	dialTimeout    = 500 * time.Millisecond // time to connect to an upstream on the same instance
-	idleTimeout    = 30 * time.Second
 	tickInterval   = 20 * time.Millisecond  // interval at which queued work is checked against its deadline
 	slowTimeout    = 3                      // ratio of the mean beyond which a timeout counts against the upstream
 	longTimeout    = 500 * time.Millisecond // timeout that counts against the upstream in any case
-	defaultConns   = 100                    // connections where the upstream names no bound
 	deadlineMargin = 5 * time.Millisecond   // part of the deadline kept for passing on the answer
+	overdueRatio   = 4                      // ratio of the usual time beyond which work is overdue
+	sickForOnce    = 0.3                    // belief in sickness at which work that must not run twice is refused
+	sickOn         = 0.5                    // belief at which the upstream is announced as suspect
+	sickOff        = 0.2                    // belief at which the suspicion is withdrawn
 )
 
 // Attempt is one try of a request at one upstream.
 type Attempt struct {
 	ID       string
+	Request  string // id of the request as the caller gave it
+	Origin   string // service on whose instance the request began
+	Forced   bool   // no upstream in better health is known
 	Class    string
 	Deadline time.Time
+	Bound    bool // the deadline holds by the clock, since the right to run the work ends with it
 	Method   string
 	URI      string
 	Host     string
@@ -72,40 +67,40 @@
 	classes   map[string]int
 	samplers  []outlier.Sampler
 	whole     outlier.Sampler
-	usual     map[uint64]time.Duration // of running work
-	suspected time.Time
+	work      map[uint64]*work
+	belief    outlier.Belief
+	suspected bool
 	ctl       *admission.Controller
 	waiting   map[uint64]chan admission.Verdict
 	nextID    uint64
-	client    *http.Transport
+	dialect   Dialect
+	conns     pool
 }
 
-// NewGate returns the gate of an announced upstream.
-func NewGate(a Announcement, classes []admission.Class, now time.Time) *Gate {
-	g := &Gate{waiting: make(map[uint64]chan admission.Verdict), usual: make(map[uint64]time.Duration), ctl: admission.New(a.Slots, nil)}
-	conns := a.Connections
-	if conns == 0 {
-		conns = defaultConns
-	}
-	d := net.Dialer{Timeout: dialTimeout}
-	g.client = &http.Transport{
-		DialContext:         d.DialContext,
-		MaxConnsPerHost:     conns,
-		MaxIdleConnsPerHost: conns,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
+// work is a request that was sent to the upstream and has not ended.
+type work struct {
+	start   time.Time
+	usual   time.Duration
+	overdue bool
+}
+
+// NewGate returns the gate of an announced upstream that speaks the dialect.
+func NewGate(a Announcement, d Dialect, classes []admission.Class, now time.Time) *Gate {
+	g := &Gate{waiting: make(map[uint64]chan admission.Verdict), work: make(map[uint64]*work), ctl: admission.New(a.Slots, nil), dialect: d}
 	g.spec = a
 	g.SetClasses(classes)
 	g.Renew(a, now)
 	return g
 }
 
-// Renew takes a later announcement of the same upstream and reports whether anything but the time changed.
+// Renew takes a later announcement of the same upstream and reports whether anything but the time changed; an announcement that was overtaken by a later one changes nothing.
 func (g *Gate) Renew(a Announcement, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	changed := a != g.spec
+	if a.before(g.spec) {
+		return false
+	}
+	changed := a.Service != g.spec.Service || a.Address != g.spec.Address || a.Slots != g.spec.Slots || a.State != g.spec.State
 	if a.Slots != g.spec.Slots {
 		g.ctl.SetSlots(a.Slots)
 	}
@@ -169,7 +164,7 @@
 }
 
 func (g *Gate) load(now time.Time, class string) Load {
-	l := Load{Load: g.ctl.Load(now)}
+	l := Load{Load: g.ctl.Load(now), Sick: g.belief.Sick(now)}
 	i, ok := g.classes[class]
 	if !ok {
 		i = -1
@@ -180,7 +175,8 @@
 		if class == i {
 			own = append(own, w)
 		}
-		if w.Unit = g.usual[id]; w.Unit > 0 {
+		if k := g.work[id]; k != nil && k.usual > 0 {
+			w.Unit = k.usual
 			all = append(all, w)
 		}
 	})
@@ -191,17 +187,15 @@
 	return l
 }
 
-// suspectHold is the time for which a suspicion is kept up, so that a flapping upstream causes little news.
-const suspectHold = 3 * time.Second
-
 // Suspect reports whether the upstream shows signs of sickness.
 func (g *Gate) Suspect(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.spec.State == Ready && g.load(now, "").Whole.Suspect() {
-		g.suspected = now
+	sick := g.belief.Sick(now)
+	if sick > sickOn || sick < sickOff {
+		g.suspected = sick > sickOn
 	}
-	return !g.suspected.IsZero() && now.Sub(g.suspected) < suspectHold
+	return g.suspected
 }
 
 // Tick refuses queued work whose deadline has passed.
@@ -209,13 +203,27 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.ctl.Tick(now))
+	for _, w := range g.work {
+		if !w.overdue && w.usual > 0 && now.Sub(w.start) > overdueRatio*w.usual {
+			w.overdue = true
+			g.learn(now, outlier.Overdue)
+		}
+	}
+}
+
+// learn takes evidence on the health of the upstream; a cold start is no sickness.
+func (g *Gate) learn(now time.Time, e outlier.Evidence) {
+	if e == outlier.Overdue && g.spec.State == Warming {
+		return
+	}
+	g.belief.Add(now, e)
 }
 
 // Run ticks until ctx ends, then closes the connections that are idle.
 func (g *Gate) Run(ctx context.Context) {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	defer g.client.CloseIdleConnections()
+	defer g.conns.close()
 	for {
 		select {
 		case <-ctx.Done():
@@ -247,6 +255,10 @@
 func (g *Gate) admit(ctx context.Context, a *Attempt) (uint64, error) {
 	ch := make(chan admission.Verdict, 1)
 	g.mu.Lock()
+	if a.Once && !a.Forced && g.belief.Sick(time.Now()) > sickForOnce {
+		g.mu.Unlock()
+		return 0, outcome.NewError(outcome.NotRun, outcome.CodeSuspect, nil)
+	}
 	class, ok := g.classes[a.Class]
 	if !ok {
 		g.mu.Unlock()
@@ -294,14 +306,18 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.usual, id)
+	w := g.work[id]
+	delete(g.work, id)
+	if w != nil {
+		g.weigh(now, w, r)
+	}
 	g.deliver(g.ctl.Done(now, id, admission.Result{Shed: r == shed, Failed: r != well}))
 	i, ok := g.classes[a.Class]
 	if !ok || g.spec.State == Warming {
 		return
 	}
 	took := now.Sub(start)
-	bad := r == failed || r == late && (took > longTimeout || took > slowTimeout*g.samplers[i].Mean())
+	bad := r == failed || r == broken || r == late && (took > longTimeout || took > slowTimeout*g.samplers[i].Mean())
 	if r != well && !bad {
 		return
 	}
@@ -311,95 +327,132 @@
 	}
 }
 
+// weigh takes the end of an attempt as evidence on the health of the upstream.
+func (g *Gate) weigh(now time.Time, w *work, r result) {
+	slow := w.usual > 0 && now.Sub(w.start) > overdueRatio*w.usual
+	switch {
+	case r == broken:
+		g.learn(now, outlier.Broken)
+	case w.overdue:
+		// counted while it ran
+	case r == failed:
+		g.learn(now, outlier.Error)
+	case slow && (r == well || r == late):
+		g.learn(now, outlier.Overdue)
+	case r == well:
+		g.learn(now, outlier.Success)
+	}
+}
+
 // result classifies the end of an attempt as evidence on the upstream.
 type result int
 
 const (
-	well result = iota
-	failed
-	late // the deadline passed
+	well   result = iota
+	failed        // the upstream said so
+	broken        // the connection broke, or the answer was cut or crossed
+	late          // the deadline passed
 	shed
 	neutral // the caller went away
 )
 
 func (g *Gate) dispatch(ctx context.Context, a *Attempt, id uint64) (*Answer, error) {
 	start := time.Now()
-	ctx, cancel := context.WithDeadline(ctx, a.Deadline.Add(-deadlineMargin))
-	req, err := g.request(ctx, a, start)
+	deadline := a.Deadline.Add(-deadlineMargin)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	req, err := g.request(a, start)
 	if err != nil {
 		cancel()
 		g.done(a, id, start, neutral)
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err)
 	}
 	g.mu.Lock()
-	g.usual[id] = a.Usual
+	g.work[id] = &work{start: start, usual: a.Usual}
+	address := g.spec.Address
 	g.mu.Unlock()
-	resp, err := g.client.RoundTrip(req)
+	limit := idleTimeout
+	if a.Once {
+		limit = onceIdle
+	}
+	x, err := g.conns.roundTrip(ctx, req, address, deadline, limit)
 	if err != nil {
 		g.done(a, id, start, classify(ctx))
-		cancel()
+		defer cancel()
 		return nil, dispatchError(ctx, err)
 	}
-	if reason := resp.Header.Get(ShedHeader); reason != "" && resp.StatusCode >= http.StatusTooManyRequests {
-		_ = resp.Body.Close()
-		g.done(a, id, start, shed)
+	end := func(r result) {
+		g.done(a, id, start, r)
 		cancel()
-		return nil, outcome.NewError(outcome.NotRun, outcome.CodeShed, errors.New(reason))
 	}
-	ans, r, err := g.receive(ctx, a, resp)
+	if err := g.refused(x.resp); err != nil {
+		x.abort()
+		end(shed)
+		return nil, err
+	}
+	ans, r, err := g.receive(ctx, a, x)
 	if err != nil || ans.Body == nil {
-		g.done(a, id, start, r)
-		cancel()
-		if err != nil {
-			return nil, err
-		}
-		return ans, nil
+		end(r)
+		return ans, err
 	}
-	ans.Body = &stream{ReadCloser: ans.Body, want: ans.Length, end: func(r result) {
-		g.done(a, id, start, r)
-		cancel()
-	}, ctx: ctx}
+	ans.Body = &stream{ReadCloser: ans.Body, want: ans.Length, end: end, ctx: ctx}
 	return ans, nil
 }
 
-func (g *Gate) request(ctx context.Context, a *Attempt, now time.Time) (*http.Request, error) {
-	var body io.Reader
+// refused returns the error of an answer that says that the work did not start.
+func (g *Gate) refused(resp *http.Response) error {
+	reason := resp.Header.Get(g.dialect.NotRun)
+	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest && g.dialect.Instance != "":
+		return outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("another instance has the address"))
+	case reason != "" && resp.StatusCode >= http.StatusBadRequest:
+		return outcome.NewError(outcome.NotRun, outcome.CodeShed, errors.New(reason))
+	}
+	return nil
+}
+
+func (g *Gate) request(a *Attempt, now time.Time) (*http.Request, error) {
+	var body io.ReadCloser
 	if a.Length != 0 && a.Body != nil {
-		body = opaque{a.Body}
+		body = io.NopCloser(a.Body)
 	}
-	req, err := http.NewRequestWithContext(ctx, a.Method, "http://"+g.Spec().Address+a.URI, body)
-	if err != nil {
-		return nil, err
+	spec := g.Spec()
+	req := &http.Request{
+		Method: a.Method,
+		URL:    &url.URL{Scheme: "http", Host: spec.Address, Opaque: a.URI},
+		Host:   a.Host,
+		Header: a.Header,
+		Body:   body,
 	}
-	if a.Length >= 0 {
+	if body != nil {
 		req.ContentLength = a.Length
 	}
-	if a.Header != nil {
-		req.Header = a.Header
+	if req.Header == nil {
+		req.Header = make(http.Header)
 	}
-	req.Host = a.Host
-	if a.Once {
-		forbidReplay(req)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // net/http adds none of its own
 	}
-	req.Header.Set(AttemptHeader, a.ID)
-	req.Header.Set(TimeoutHeader, strconv.FormatInt(a.Deadline.Sub(now).Milliseconds(), 10))
-	req.Header.Set(DeadlineHeader, strconv.FormatInt(a.Deadline.UnixMilli(), 10))
+	d := g.dialect
+	setHeader(req.Header, d.Attempt, g.attemptID(a))
+	setHeader(req.Header, d.Timeout, strconv.FormatInt(a.Deadline.Sub(now).Milliseconds(), 10))
+	setHeader(req.Header, d.Deadline, strconv.FormatInt(a.Deadline.UnixMilli(), 10))
+	setHeader(req.Header, d.Instance, spec.ID)
+	setHeader(req.Header, d.Origin, a.Origin)
 	return req, nil
 }
 
-// opaque hides the type of a body, from which net/http would otherwise learn how to send it again.
-type opaque struct{ io.Reader }
-
-// forbidReplay keeps net/http from sending the request again after a connection broke: it would do so for methods that are idempotent by definition and for requests with an idempotency key.
-func forbidReplay(req *http.Request) {
-	if v, ok := req.Header[keyHeader]; ok {
-		delete(req.Header, keyHeader)
-		req.Header[strings.ToLower(keyHeader)] = v
+func setHeader(h http.Header, name, value string) {
+	if name != "" {
+		h.Set(name, value)
 	}
-	switch req.Method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		req.Close = true // a fresh connection is not replayed
+}
+
+// attemptID returns the id that the answer must repeat.
+func (g *Gate) attemptID(a *Attempt) string {
+	if g.dialect.ByRequest {
+		return a.Request
 	}
+	return a.ID
 }
 
 func classify(ctx context.Context) result {
@@ -409,13 +462,13 @@
 	case ctx.Err() != nil:
 		return neutral
 	}
-	return failed
+	return broken
 }
 
 // dispatchError says what is known of an attempt that ended without an answer: not run only where no connection was made.
 func dispatchError(ctx context.Context, err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+	var dial *errDial
+	if errors.As(err, &dial) {
 		return outcome.NewError(outcome.NotRun, outcome.CodeUpstream, err)
 	}
 	code := outcome.CodeUpstream
@@ -426,22 +479,21 @@
 }
 
 // receive checks the head of the answer and reads a small one whole; the answer has no body left to stream when it is whole.
-func (g *Gate) receive(ctx context.Context, a *Attempt, resp *http.Response) (*Answer, result, error) {
-	if got := resp.Header.Get(AttemptHeader); got != a.ID {
-		_ = resp.Body.Close()
-		return nil, failed, outcome.NewError(outcome.Unknown, outcome.CodeCrossed, errors.Errorf("answer to attempt %q, want %q", got, a.ID))
+func (g *Gate) receive(ctx context.Context, a *Attempt, x *exchange) (*Answer, result, error) {
+	resp := x.resp
+	if err := g.verify(a, resp); err != nil {
+		x.abort()
+		return nil, broken, err
+	}
+	if !g.dialect.ByRequest {
+		resp.Header.Del(g.dialect.Attempt)
 	}
-	resp.Header.Del(AttemptHeader)
 	ans := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
 	ans.Trailer = func() http.Header { return resp.Trailer }
-	if unbounded(a.Method, resp) {
-		_ = resp.Body.Close()
-		return nil, failed, outcome.NewError(outcome.Unknown, outcome.CodeTruncated, errors.New("answer has neither a length nor chunks"))
-	}
 	var buf bytes.Buffer
 	_, err := io.CopyN(&buf, resp.Body, wholeAnswer)
 	if errors.Is(err, io.EOF) {
-		_ = resp.Body.Close()
+		x.release()
 		ans.SetContent(buf.Bytes())
 		if a.Method == http.MethodHead {
 			ans.Length = resp.ContentLength
@@ -449,19 +501,23 @@
 		return ans, rate(resp.StatusCode), nil
 	}
 	if err != nil {
-		_ = resp.Body.Close()
+		x.abort()
 		return nil, classify(ctx), outcome.NewError(outcome.Unknown, outcome.CodeTruncated, err)
 	}
-	ans.Body = &joined{Reader: io.MultiReader(&buf, resp.Body), Closer: resp.Body}
+	ans.Body = &body{Reader: io.MultiReader(&buf, resp.Body), x: x}
 	return ans, well, nil
 }
 
-// unbounded reports whether the end of the body can't be told from a cut connection.
-func unbounded(method string, resp *http.Response) bool {
-	if method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
-		return false
+// verify checks that the answer belongs to the attempt and that a success bears the upstream's proof.
+func (g *Gate) verify(a *Attempt, resp *http.Response) error {
+	if got, want := resp.Header.Get(g.dialect.Attempt), g.attemptID(a); got != want {
+		return outcome.NewError(outcome.Unknown, outcome.CodeCrossed, errors.Errorf("answer to attempt %q, want %q", got, want))
+	}
+	success := resp.StatusCode >= http.StatusOK && resp.StatusCode < http.StatusMultipleChoices
+	if success && g.dialect.Proof != "" && resp.Header.Get(g.dialect.Proof) == "" {
+		return outcome.NewError(outcome.Unknown, outcome.CodeCrossed, errors.New("a success without the upstream's proof"))
 	}
-	return resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	return nil
 }
 
 func rate(status int) result {
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -16,6 +16,7 @@
 	Load  admission.Load
 	Class outlier.Report
 	Whole outlier.Report // service times are scaled by what each class usually takes
+	Sick  float64        // belief of the gate that the upstream is sick, 0 to 1
 }
 
 // milli is the scale of the fractions in the text form.
@@ -23,8 +24,8 @@
 
 // String returns the text form that ParseLoad reads.
 func (l Load) String() string {
-	return fmt.Sprintf("%d,%d,%d,%x,%s,%s", l.Load.Running, l.Load.Queued, l.Load.Limit, l.Load.Refusing,
-		formatReport(l.Class), formatReport(l.Whole))
+	return fmt.Sprintf("%d,%d,%d,%x,%s,%s,%d", l.Load.Running, l.Load.Queued, l.Load.Limit, l.Load.Refusing,
+		formatReport(l.Class), formatReport(l.Whole), int(l.Sick*milli))
 }
 
 func formatReport(r outlier.Report) string {
@@ -35,15 +36,16 @@
 const (
 	loadFields   = 4
 	reportFields = 6
+	allFields    = loadFields + 2*reportFields + 1
 )
 
 // ParseLoad parses the text form of a load.
 func ParseLoad(text string) (Load, error) {
 	fields := strings.Split(text, ",")
-	if len(fields) != loadFields+2*reportFields {
+	if len(fields) != allFields {
 		return Load{}, errors.Errorf("load %q has %d fields", text, len(fields))
 	}
-	var v [loadFields + 2*reportFields]int64
+	var v [allFields]int64
 	for i, f := range fields {
 		base := 10
 		if i == loadFields-1 {
@@ -60,6 +62,7 @@
 	l.Load.Refusing = uint32(v[3])
 	l.Class = parseReport(v[loadFields:])
 	l.Whole = parseReport(v[loadFields+reportFields:])
+	l.Sick = float64(v[allFields-1]) / milli
 	return l, nil
 }
 
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -30,11 +30,6 @@
 	return a.Body
 }
 
-type joined struct {
-	io.Reader
-	io.Closer
-}
-
 // stream passes on the body of a large answer and reports how it ended.
 type stream struct {
 	io.ReadCloser
@@ -56,7 +51,7 @@
 		s.once.Do(func() { s.end(well) })
 	case err == io.EOF:
 		err = io.ErrUnexpectedEOF
-		s.once.Do(func() { s.end(failed) })
+		s.once.Do(func() { s.end(broken) })
 	default:
 		s.once.Do(func() { s.end(classify(s.ctx)) })
 	}
