--- a/caller/handler.go
+++ b/caller/handler.go
@@ -21,7 +21,7 @@
 	// Serve runs the request; the error is an *outcome.Error.
 	Serve(ctx context.Context, r *Request) (*upstream.Answer, error)
 	// Ended notes how a request ended and how long it took.
-	Ended(r *Request, o outcome.Outcome, err error, took time.Duration)
+	Ended(r *Request, status int, o outcome.Outcome, err error, took time.Duration)
 }
 
 // Mount adds the handler of callers' requests in the dialect to e; body bounds the bytes of a request's body.
@@ -44,17 +44,17 @@
 	}
 	ans, err := run(f, r, body)
 	if err != nil {
-		d.sendProblem(w, r.ID, err)
-		f.Ended(r, errorOutcome(err), err, time.Since(start))
+		status := d.sendProblem(w, r.ID, err)
+		f.Ended(r, status, errorOutcome(err), err, time.Since(start))
 		return
 	}
 	w.Header().Set(d.Request, r.ID)
 	ans.Header.Set(outcome.Header, string(outcome.Ran))
 	if err := ans.Send(w); err != nil {
-		f.Ended(r, outcome.Unknown, err, time.Since(start))
+		f.Ended(r, ans.Status, outcome.Unknown, err, time.Since(start))
 		panic(http.ErrAbortHandler) // a cut answer must not look whole
 	}
-	f.Ended(r, outcome.Ran, nil, time.Since(start))
+	f.Ended(r, ans.Status, outcome.Ran, nil, time.Since(start))
 }
 
 func run(f Fleet, r *Request, body int64) (*upstream.Answer, error) {
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -54,8 +54,8 @@
 	return strconv.Itoa(int(math.Ceil(after.Seconds())))
 }
 
-// sendProblem answers with the error; requestID may be empty.
-func (d Dialect) sendProblem(w http.ResponseWriter, requestID string, err error) {
+// sendProblem answers with the error and returns the status; requestID may be empty.
+func (d Dialect) sendProblem(w http.ResponseWriter, requestID string, err error) int {
 	var e *outcome.Error
 	if !errors.As(err, &e) {
 		e = outcome.NewError(outcome.Unknown, outcome.CodePath, err)
@@ -85,4 +85,5 @@
 	}
 	w.WriteHeader(s)
 	_ = json.NewEncoder(w).Encode(p) // the caller may be gone
+	return s
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -27,6 +27,7 @@
 	Deadline time.Time
 	HTTP     *http.Request
 	Body     *Body
+	Steps    []string // what the attempts did, for the log
 }
 
 // parse reads the head of a request; the error is an *outcome.Error.
--- a/jasmined/main.go
+++ b/jasmined/main.go
@@ -42,7 +42,7 @@
 	node.LimitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(os.Stdout, cfg)})
+	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(node.NewSink(os.Stdout), cfg)})
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
--- a/node/gates.go
+++ b/node/gates.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/admission"
 	"github.com/jasminevane/jasminevane/bundle"
 	"github.com/jasminevane/jasminevane/event"
@@ -24,6 +25,7 @@
 	byID map[string]*upstream.Gate
 	stop map[string]context.CancelFunc
 
+	roster  upstream.Roster
 	suspect map[*upstream.Gate]bool // as last announced; used by the sweep alone
 }
 
@@ -78,8 +80,11 @@
 // Announce implements upstream.Registry.
 func (n *Node) Announce(a upstream.Announcement) (int, error) {
 	now := time.Now()
-	if err := n.accept(a); err != nil {
-		return 0, err
+	id := a.ID
+	a, err := n.accept(now, a)
+	if err != nil {
+		n.noteAnnouncement("ignored", id, err.Error())
+		return 0, nil // the upstream needs no answer to what was overtaken
 	}
 	n.gates.mu.Lock()
 	g := n.gates.byID[a.ID]
@@ -103,30 +108,28 @@
 			kind = event.Drain
 		}
 		n.events.Add(event.Event{Kind: kind, Upstream: a.ID, Text: a.Service + " " + string(a.State)})
+		n.noteAnnouncement(string(a.State), a.ID, a.Service)
 		n.announce()
 	}
 	return g.Running(), nil
 }
 
-// accept checks an announcement against what the node knows of the upstreams beside it, and withdraws an upstream that another has replaced at its address.
-func (n *Node) accept(a upstream.Announcement) error {
+// accept checks an announcement against what the node knows of the upstreams beside it and withdraws those that it replaces.
+func (n *Node) accept(now time.Time, a upstream.Announcement) (upstream.Announcement, error) {
 	if want := n.cfg.Listen.Beside; want != "" && a.Address != want {
-		return errors.Errorf("address %s is not beside this node, want %s", a.Address, want)
+		return a, errors.Errorf("address %s is not beside this node, want %s", a.Address, want)
 	}
 	if b := n.Bundle(); n.contract.published() && b.Len() > 0 && b.Service(a.Service) == nil {
-		return errors.Errorf("service %q is unknown", a.Service)
+		return a, errors.Errorf("service %q is unknown", a.Service)
 	}
-	for _, g := range n.gates.all() {
-		old := g.Spec()
-		if old.ID == a.ID || old.Address != a.Address {
-			continue
-		}
-		if a.Incarnation < old.Incarnation {
-			return errors.Errorf("upstream %s has replaced %s at %s", old.ID, a.ID, a.Address)
-		}
-		n.Withdraw(old.ID)
+	n.gates.mu.Lock()
+	replaced, err := n.gates.roster.Take(now, a)
+	a, _ = n.gates.roster.Current(a.ID)
+	n.gates.mu.Unlock()
+	for _, id := range replaced {
+		n.remove(id, "replaced by "+a.ID)
 	}
-	return nil
+	return a, err
 }
 
 // addGate starts a gate; the set is locked.
@@ -140,8 +143,21 @@
 	n.spawn(func() { g.Run(ctx) })
 }
 
+// noteAnnouncement logs what became of an announcement.
+func (n *Node) noteAnnouncement(what, id, why string) {
+	_ = level.Info(n.logger).Log("msg", "announcement", "result", what, "upstream", id, "why", why)
+}
+
 // Withdraw implements upstream.Registry.
 func (n *Node) Withdraw(id string) {
+	n.gates.mu.Lock()
+	n.gates.roster.End(time.Now(), id, true)
+	n.gates.mu.Unlock()
+	n.remove(id, "left")
+}
+
+// remove ends the gate of an upstream; what it runs goes on.
+func (n *Node) remove(id, why string) {
 	n.gates.mu.Lock()
 	g, cancel := n.gates.byID[id], n.gates.stop[id]
 	delete(n.gates.byID, id)
@@ -152,7 +168,8 @@
 	}
 	g.Drain()
 	cancel()
-	n.events.Add(event.Event{Kind: event.Gone, Upstream: id})
+	n.events.Add(event.Event{Kind: event.Gone, Upstream: id, Text: why})
+	n.noteAnnouncement("gone", id, why)
 	n.announce()
 }
 
@@ -175,10 +192,17 @@
 	changed := false
 	for _, g := range n.gates.all() {
 		if g.Expired(now) {
-			n.Withdraw(g.Spec().ID)
+			id := g.Spec().ID
+			n.gates.mu.Lock()
+			n.gates.roster.End(now, id, false)
+			n.gates.mu.Unlock()
+			n.remove(id, "silent")
 			continue
 		}
 		suspect := g.Suspect(now)
+		if suspect != n.gates.suspect[g] {
+			_ = level.Info(n.logger).Log("msg", "health", "upstream", g.Spec().ID, "suspect", suspect, "sick", g.Load("").Sick)
+		}
 		changed = changed || suspect != n.gates.suspect[g]
 		n.gates.suspect[g] = suspect
 	}
--- a/node/logs.go
+++ b/node/logs.go
@@ -202,6 +202,7 @@
 		n.rebuildLanes(b)
 	}
 	n.laneMu.Unlock()
+	n.version.Store(version)
 	n.metrics.version.Set(float64(version))
 	if !changed {
 		return
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,12 +1,6 @@
 package node
 
 import (
-	"time"
-
-	"github.com/jasminevane/jasminevane/caller"
-	"github.com/jasminevane/jasminevane/event"
-	"github.com/jasminevane/jasminevane/outcome"
-	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 )
@@ -54,18 +48,3 @@
 	m.store.Set(1)
 	return m
 }
-
-// Ended implements caller.Fleet.
-func (n *Node) Ended(r *caller.Request, o outcome.Outcome, err error, took time.Duration) {
-	service, class := r.Match.Service.Name(), r.Match.Class.Name()
-	code := outcome.Code("")
-	var e *outcome.Error
-	if errors.As(err, &e) {
-		code = e.Code
-	}
-	n.metrics.requests.WithLabelValues(service, class, string(o), string(code)).Inc()
-	n.metrics.latency.WithLabelValues(service, class).Observe(took.Seconds())
-	if o == outcome.Unknown && err != nil {
-		n.events.Add(event.Event{Kind: event.Unknown, Request: r.ID, Text: service + "/" + class + " " + err.Error()})
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -44,6 +44,8 @@
 	lns     listeners
 
 	contract contract
+	trace    tracer
+	version  atomic.Uint64          // of the bundle in force
 	splits   sync.Map               // *split by route
 	service  atomic.Pointer[string] // of the upstreams beside the node, as the settings say
 
@@ -92,6 +94,7 @@
 	n.events = event.NewRing(cfg.Name, &n.clock, cfg.Limits.Events)
 	n.client = peer.NewClient(opt.Dial)
 	n.metrics = newMetrics()
+	n.trace = newTracer()
 	self := membership.Member{
 		Name:        cfg.Name,
 		Incarnation: uint64(now.UnixMilli()),
--- a/node/serve.go
+++ b/node/serve.go
@@ -23,9 +23,9 @@
 	maxSent      = 4                      // upstreams that one request may be sent to where its route does not say
 	hedgeRatio   = 3                      // ratio to the group's mean after which a second attempt starts
 	hedgeMin     = 60 * time.Millisecond  // least time before a second attempt starts
-	askAfter     = 500 * time.Millisecond // time after which the node of a silent upstream is asked for its state
-	askRatio     = 10                     // ratio to the group's mean after which it is asked
-	askTimeout   = 400 * time.Millisecond
+	askAfter     = 400 * time.Millisecond // time after which the node of a silent upstream is asked for its state
+	askRatio     = 3                      // ratio to the group's mean after which it is asked
+	askTimeout   = 300 * time.Millisecond
 	pathPatience = 450 * time.Millisecond // silence after which the path is doubted
 	retryAfter   = time.Second            // told to callers on overload
 )
@@ -37,6 +37,8 @@
 	deadline time.Time
 	origin   string
 	keyed    bool
+	start    time.Time
+	steps    *[]string // filled by run; nil where no line is written
 	method   string
 	uri      string
 	host     string
@@ -52,6 +54,7 @@
 	j := &job{
 		id:       r.ID,
 		origin:   n.origin(),
+		start:    time.Now(),
 		match:    r.Match,
 		deadline: r.Deadline,
 		method:   r.HTTP.Method,
@@ -64,6 +67,7 @@
 		j.keyed = true
 		return n.serveKeyed(ctx, j, r)
 	}
+	j.steps = &r.Steps
 	return n.run(ctx, j)
 }
 
@@ -81,6 +85,7 @@
 	ans    *upstream.Answer
 	err    error
 	cancel context.CancelFunc
+	step   step
 }
 
 // race runs the attempts of one job: one after the other where they fail without effect, side by side where one hangs and the work is idempotent.
@@ -124,6 +129,7 @@
 		select {
 		case t := <-r.results:
 			r.pending--
+			r.note(t.step)
 			if r.final(t) {
 				return r.finish(t)
 			}
@@ -141,6 +147,12 @@
 	}
 }
 
+func (r *race) note(s step) {
+	if r.job.steps != nil {
+		*r.job.steps = append(*r.job.steps, s.String())
+	}
+}
+
 func (r *race) hedgeDelay() time.Duration {
 	r.lane.mu.Lock()
 	defer r.lane.mu.Unlock()
@@ -165,17 +177,20 @@
 		return outcome.NewError(outcome.NotRun, outcome.CodeExpired, nil)
 	}
 	q := routing.Query{
-		Once:    r.job.once(),
-		Class:   r.class,
-		Exclude: r.tried,
-		Far:     r.job.match.Class.Spill() && r.n.linkOpen(),
-		Spare:   spare,
+		Once:      r.job.once(),
+		Class:     r.class,
+		Exclude:   r.tried,
+		Far:       r.job.match.Class.Spill() && r.n.linkOpen(),
+		Spare:     spare,
+		Objective: r.job.match.Class.Objective(),
 	}
 	r.lane.mu.Lock()
+	q.Trial = r.lane.budget.Left() && r.limit() > 1 && r.job.body.Repeatable()
 	choice, err := r.lane.group.Pick(now, q, r.lane.rnd)
 	usual := r.lane.group.Mean(now, r.class)
 	r.lane.mu.Unlock()
 	if err != nil {
+		r.note(step{to: "none", at: now.Sub(r.job.start), result: err.Error()})
 		return noUpstream(err)
 	}
 	r.tried = append(r.tried, choice.ID)
@@ -185,9 +200,11 @@
 	r.cancels = append(r.cancels, cancel)
 	a := r.attempt(len(r.tried))
 	a.Usual, a.Forced = usual, choice.Forced
+	s := step{to: choice.ID, at: now.Sub(r.job.start), health: choice.Health, why: choice.Why()}
 	go func() {
 		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
-		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel}
+		s.took, s.result = time.Since(now), resultOf(ans, err)
+		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel, step: s}
 	}()
 	return nil
 }
@@ -440,6 +457,7 @@
 	defer l.mu.Unlock()
 	l.active = true
 	if err != nil || perr != nil {
+		n.client.Reset(m.Address)
 		l.group.Avoid(time.Now(), c.ID)
 		return errors.Errorf("node %s does not answer", c.Node)
 	}
--- /dev/null
+++ b/node/sink.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of the log.
+const (
+	sinkLines   = 2048 // lines that wait to be written
+	sinkReport  = 5 * time.Second
+	sampleRate  = 20  // lines a second on requests that went well
+	troubleRate = 300 // lines a second on requests that did not
+)
+
+// Sink writes log lines in the background and drops them where its reader is too slow, so that no request waits for a log.
+type Sink struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+// NewSink returns a sink to w, which it writes to until the process ends.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{lines: make(chan []byte, sinkLines)}
+	go s.run(w)
+	return s
+}
+
+// Write implements io.Writer; it never blocks.
+func (s *Sink) Write(p []byte) (int, error) {
+	select {
+	case s.lines <- append([]byte(nil), p...):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Dropped returns how many lines were dropped.
+func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
+
+func (s *Sink) run(w io.Writer) {
+	var told uint64
+	last := time.Now()
+	for line := range s.lines {
+		_, _ = w.Write(line) // there is nowhere else to say it
+		if n := s.dropped.Load(); n > told && time.Since(last) > sinkReport {
+			fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" lines=%d\n", n-told)
+			told, last = n, time.Now()
+		}
+	}
+}
--- /dev/null
+++ b/node/trace.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/caller"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// tracer bounds the lines on requests; the zero value writes none.
+type tracer struct {
+	well, trouble *rate.Limiter
+}
+
+func newTracer() tracer {
+	return tracer{well: rate.NewLimiter(sampleRate, sampleRate), trouble: rate.NewLimiter(troubleRate, troubleRate)}
+}
+
+// allow reports whether a line may be written.
+func (t *tracer) allow(well bool) bool {
+	if well {
+		return t.well != nil && t.well.Allow()
+	}
+	return t.trouble != nil && t.trouble.Allow()
+}
+
+// step is what one attempt of a request did, for the line on the request.
+type step struct {
+	to     string
+	at     time.Duration // since the request began
+	took   time.Duration
+	health float64 // belief in sickness on which the upstream was chosen
+	why    string
+	result string
+}
+
+// String formats the step as to@at+took(belief)=result.
+func (s step) String() string {
+	return fmt.Sprintf("%s@%d+%d(%s%.2f)=%s", s.to, s.at.Milliseconds(), s.took.Milliseconds(), s.why, s.health, s.result)
+}
+
+func resultOf(ans *upstream.Answer, err error) string {
+	var e *outcome.Error
+	switch {
+	case errors.As(err, &e):
+		return string(e.Outcome) + "/" + string(e.Code)
+	case err != nil:
+		return "path: " + err.Error()
+	}
+	return fmt.Sprint(ans.Status)
+}
+
+// Ended implements caller.Fleet.
+func (n *Node) Ended(r *caller.Request, status int, o outcome.Outcome, err error, took time.Duration) {
+	service, class := r.Match.Service.Name(), r.Match.Class.Name()
+	code := outcome.Code("")
+	var e *outcome.Error
+	if errors.As(err, &e) {
+		code = e.Code
+	}
+	n.metrics.requests.WithLabelValues(service, class, string(o), string(code)).Inc()
+	n.metrics.latency.WithLabelValues(service, class).Observe(took.Seconds())
+	if o == outcome.Unknown && err != nil {
+		n.events.Add(event.Event{Kind: event.Unknown, Request: r.ID, Text: service + "/" + class + " " + err.Error()})
+	}
+	well := err == nil && status < 500 && len(r.Steps) == 1 && took <= r.Match.Class.Objective()
+	if !n.trace.allow(well) {
+		return
+	}
+	_ = level.Info(n.logger).Log("msg", "request", "id", r.ID, "service", service, "class", class, "outcome", o, "code", code, "status", status,
+		"ms", took.Milliseconds(), "timeout", r.Match.Timeout().Milliseconds(), "bundle", n.version.Load(), "steps", strings.Join(r.Steps, " "), "err", err)
+}
--- a/outlier/belief.go
+++ b/outlier/belief.go
@@ -32,6 +32,7 @@
 	fallTime    = 20 * time.Second // mean time until a well upstream falls sick
 	recoverTime = 8 * time.Second  // mean time until a sick upstream is well
 	leastBelief = 0.002
+	mostBelief  = 0.97
 )
 
 // Belief is the probability that an upstream is sick, as its gate sees it; the zero value takes it for well.
@@ -60,8 +61,8 @@
 
 // Add takes one piece of evidence.
 func (b *Belief) Add(now time.Time, e Evidence) {
-	p := min(1-leastBelief, max(leastBelief, b.Sick(now)))
+	p := min(mostBelief, max(leastBelief, b.Sick(now)))
 	l := likelihoods[e]
 	p = p * l.sick / (p*l.sick + (1-p)*l.well)
-	b.sick, b.at = min(1-leastBelief, max(leastBelief, p)), now
+	b.sick, b.at = min(mostBelief, max(leastBelief, p)), now
 }
--- a/outlier/sampler.go
+++ b/outlier/sampler.go
@@ -19,7 +19,7 @@
 	Fail   float64       // decayed count of failures
 	Count  float64       // decayed count of samples
 	Seq    uint64        // samples since the start
-	Stuck  time.Duration // age of the oldest running work where at least two requests run
+	Stuck  time.Duration // age of the oldest running work, scaled like the means, where at least two requests run
 }
 
 // Failure returns the share of failures.
@@ -107,7 +107,7 @@
 	n := len(running)
 	var oldest time.Duration
 	for _, w := range running {
-		oldest = max(oldest, w.Age)
+		oldest = max(oldest, Scale(w.Age, w.Unit))
 		if x := logTime(Scale(w.Age, w.Unit)); r.Mean > 0 && x > r.Mean {
 			r.Mean += sampleWeight * (x - r.Mean)
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -19,10 +19,8 @@
 
 // Timing of connections between nodes.
 const (
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	idleTimeout = 60 * time.Second
-	pingAfter   = 2 * time.Second // silence after which a connection is tried
-	pingTimeout = time.Second
 )
 
 // Dialer connects to the address of a node.
@@ -30,9 +28,16 @@
 
 // Client calls other nodes.
 type Client struct {
+	dial  Dialer
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+// link is the connection to one node.
+type link struct {
 	transport *http.Transport
-	mu        sync.Mutex
-	clients   map[string]peerv1connect.PeerClient
+	control   peerv1connect.PeerClient
+	used      time.Time
 }
 
 // NewClient returns a client that connects by dial, or by TCP where dial is nil.
@@ -41,35 +46,67 @@
 		d := &net.Dialer{Timeout: dialTimeout}
 		dial = d.DialContext
 	}
+	return &Client{dial: dial, links: make(map[string]*link)}
+}
+
+func (c *Client) newLink(address string) *link {
 	t := &http.Transport{
-		DialContext:        dial,
+		DialContext:        c.dial,
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		Protocols:          new(http.Protocols),
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout: pingAfter,
-			PingTimeout:     pingTimeout,
-		},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
-	return &Client{transport: t, clients: make(map[string]peerv1connect.PeerClient)}
+	p := peerv1connect.NewPeerClient(&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxMessage))
+	return &link{transport: t, control: p}
 }
 
-// Close closes the connections that are idle.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+// link returns the connection to the node at the address; those that were idle for long are dropped.
+func (c *Client) link(address string) *link {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[address]
+	if l == nil {
+		c.drop(now)
+		l = c.newLink(address)
+		c.links[address] = l
+	}
+	l.used = now
+	return l
+}
 
-// Peer returns the generated client of the node at the address.
-func (c *Client) Peer(address string) peerv1connect.PeerClient {
+func (c *Client) drop(now time.Time) {
+	for address, l := range c.links {
+		if now.Sub(l.used) > 2*idleTimeout {
+			l.transport.CloseIdleConnections()
+			delete(c.links, address)
+		}
+	}
+}
+
+// Reset makes the next call to the address use a new connection, since the one in use is silent.
+func (c *Client) Reset(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.links[address]; l != nil {
+		l.transport.CloseIdleConnections()
+		delete(c.links, address)
+	}
+}
+
+// Close closes the connections that are idle.
+func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p := c.clients[address]
-	if p == nil {
-		p = peerv1connect.NewPeerClient(&http.Client{Transport: c.transport}, "http://"+address, connect.WithReadMaxBytes(maxMessage))
-		c.clients[address] = p
+	for _, l := range c.links {
+		l.transport.CloseIdleConnections()
 	}
-	return p
 }
 
+// Peer returns the generated client of the node at the address.
+func (c *Client) Peer(address string) peerv1connect.PeerClient { return c.link(address).control }
+
 // Exchange sends a heartbeat and returns the answer.
 func (c *Client) Exchange(ctx context.Context, address string, b Beat) (Beat, error) {
 	ans, err := c.Peer(address).Exchange(ctx, connect.NewRequest(b.proto()))
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -86,7 +86,7 @@
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err)
 	}
 	mark(req.Header)
-	resp, err := c.transport.RoundTrip(req)
+	resp, err := c.link(address).transport.RoundTrip(req)
 	if err != nil {
 		defer cancel()
 		return nil, pathError(ctx, err)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -34,6 +34,9 @@
 // Request counts a first attempt.
 func (b *Budget) Request() { b.tokens = min(b.bound(), b.tokens+b.ratio) }
 
+// Left reports whether one more attempt is allowed without counting it.
+func (b *Budget) Left() bool { return b.tokens >= 1 }
+
 // Take reports whether one more attempt is allowed and counts it.
 func (b *Budget) Take() bool {
 	if b.tokens < 1 {
--- a/routing/group.go
+++ b/routing/group.go
@@ -19,12 +19,15 @@
 	choices       = 2                      // candidates compared for a request
 	loadDecay     = 500 * time.Millisecond // time constant with which a reported load is forgotten
 	refusalAge    = 75 * time.Millisecond  // span for which a reported refusal is believed
-	spillLoad     = 0.9                    // load for each slot above which the next tier is tried
-	farPenalty    = 0.6                    // load added for each tier of distance
+	spareLoad     = 0.9                    // load for each slot above which an upstream has nothing to spare
 	rampTime      = 5 * time.Second        // time until a new upstream has its full share
 	rampStart     = 0.1                    // share of a new upstream
 	trialShare    = 0.03                   // share of its fair load that an upstream on trial gets
-	failWeight    = 10.0                   // weight of the failure share in the score
+	loadWeight    = 0.1                    // cost of a full upstream, in parts of the worth of a request
+	slowWeight    = 0.5                    // cost of an answer that is late by one objective
+	failWeight    = 0.5                    // cost of a certain failure by the evidence
+	sickWeight    = 0.9                    // cost of a certain failure by the belief of the gate
+	usualRatio    = 0.3                    // ratio of the service time to the objective where it is not known
 	maxSlowness   = 20.0                   // bound of the slowness in the score
 	firstAvoid    = time.Second            // time for which a node is avoided after a path failure
 	maxAvoid      = 30 * time.Second       // longest time for which a node is avoided
@@ -66,7 +69,19 @@
 	Tier  Tier
 	Trial bool
 
-	Forced bool // no upstream in better health is known
+	Forced bool    // no upstream in better health is known
+	Health float64 // belief in the upstream's sickness on which it was chosen
+}
+
+// Why says in one word how the choice was made.
+func (c Choice) Why() string {
+	switch {
+	case c.Trial:
+		return "trial "
+	case c.Forced:
+		return "forced "
+	}
+	return ""
 }
 
 // Refusal says why no upstream was chosen.
@@ -90,13 +105,18 @@
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("route to %s: %s", e.service, e.reason) }
 
+// tierCosts are the costs of distance, in parts of the worth of a request.
+var tierCosts = [tiers]float64{0, 0.03, 0.3}
+
 // Query describes an attempt to be routed.
 type Query struct {
-	Once    bool // the work must not run twice
-	Class   int
-	Exclude []string // upstreams that earlier attempts used
-	Far     bool     // another region may be used
-	Spare   bool     // only an upstream with capacity to spare will do
+	Once      bool // the work must not run twice
+	Class     int
+	Exclude   []string      // upstreams that earlier attempts used
+	Trial     bool          // the attempt may find out whether a sick upstream is well again
+	Objective time.Duration // time within which an answer has its full worth; 0 where it is not known
+	Far       bool          // another region may be used
+	Spare     bool          // only an upstream with capacity to spare will do
 }
 
 // Observation is what one attempt showed.
@@ -291,7 +311,7 @@
 	}
 	if e != nil {
 		e.own++
-		return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Trial: true}, nil
+		return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Trial: true, Health: e.health(now)}, nil
 	}
 	var best *endpoint
 	score := math.Inf(1)
@@ -300,23 +320,20 @@
 	if q.Far {
 		last = OtherRegion
 	}
-	for t := SameDataCentre; t <= last; t++ {
+	for t := SameDataCentre; t <= last && score > tierCosts[t]; t++ {
 		e, s, busy := g.sample(now, q, t, rnd)
 		refused = refused || busy
-		if e != nil && s+farPenalty*float64(t) < score {
-			best, score = e, s+farPenalty*float64(t)
-		}
-		if score < spillLoad {
-			break
+		if e != nil && s+tierCosts[t] < score {
+			best, score = e, s+tierCosts[t]
 		}
 	}
 	if best == nil && !q.Spare {
 		if e := g.last(now, q, last); e != nil {
 			e.own++
-			return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Forced: true}, nil
+			return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Forced: true, Health: e.health(now)}, nil
 		}
 	}
-	if best == nil || q.Spare && score > spillLoad {
+	if best == nil || q.Spare && best.busy(now) {
 		reason := NoUpstream
 		if refused || best != nil {
 			reason = Busy
@@ -324,12 +341,12 @@
 		return Choice{}, &Error{service: g.service, reason: reason}
 	}
 	best.own++
-	return Choice{ID: best.ID, Node: best.Node, Tier: best.Tier}, nil
+	return Choice{ID: best.ID, Node: best.Node, Tier: best.Tier, Health: best.health(now)}, nil
 }
 
 // sickTrial returns a sick upstream for a small share of the requests that may be repeated, which finds out when it is well again.
 func (g *Group) sickTrial(now time.Time, q Query, rnd *rand.Rand) *endpoint {
-	if q.Once || len(q.Exclude) > 0 {
+	if q.Once || !q.Trial || len(q.Exclude) > 0 {
 		return nil
 	}
 	var list []*endpoint
@@ -384,7 +401,7 @@
 		if e == nil {
 			break
 		}
-		if s := g.score(now, e, q.Class); s < score {
+		if s := g.score(now, e, q); s < score {
 			best, score = e, s
 		}
 	}
@@ -411,15 +428,30 @@
 	return e.refusing&(1<<class) != 0 && now.Sub(e.refusedAt) < refusalAge
 }
 
-// score estimates the work ahead of a new request for each slot, weighted by slowness and failures.
-func (g *Group) score(now time.Time, e *endpoint, class int) float64 {
+// busy reports whether the upstream has no slot to spare.
+func (e *endpoint) busy(now time.Time) bool { return e.use(now) > spareLoad }
+
+// use estimates the work for each slot of the upstream, with one request more.
+func (e *endpoint) use(now time.Time) float64 {
 	age := now.Sub(e.loadAt)
 	load := e.load*math.Exp(-float64(age)/float64(loadDecay)) + float64(max(0, e.own-e.ownAtLoad))
 	load = max(load, float64(e.own))
-	slow := g.detector.Slowness(now, e.ID, class, g.mean(now, class))
-	slow = min(maxSlowness, max(0.5, slow))
-	fail := 1 + failWeight*g.detector.Failing(now, e.ID, class)
-	return (load + 1) / (float64(max(1, e.limit)) * e.weight(now)) * slow * fail
+	return (load + 1) / (float64(max(1, e.limit)) * e.weight(now))
+}
+
+// score estimates the cost of sending a request to the upstream, in parts of the request's worth: the risk that it fails, and the time by which it is late.
+func (g *Group) score(now time.Time, e *endpoint, q Query) float64 {
+	mean := g.mean(now, q.Class)
+	ratio := usualRatio
+	if mean > 0 && q.Objective > 0 {
+		ratio = min(1, math.Exp(mean)/float64(q.Objective.Microseconds()))
+	}
+	use := e.use(now)
+	cost := loadWeight*use*use + max(0, use-1)*ratio
+	if slow := min(maxSlowness, g.detector.Slowness(now, e.ID, q.Class, mean)); slow > 1 {
+		cost += slowWeight * (slow - 1) * ratio
+	}
+	return cost + failWeight*g.detector.Failing(now, e.ID, q.Class) + sickWeight*e.health(now)
 }
 
 func (g *Group) mean(now time.Time, class int) float64 {
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -46,6 +46,9 @@
 	Warming     time.Duration `json:"warming,omitempty"`     // nanoseconds for which the upstream stays slow
 }
 
+// numbered reports whether the upstream tells its announcements apart.
+func (a *Announcement) numbered() bool { return a.Incarnation > 0 || a.Seq > 0 }
+
 // before reports whether the announcement was made before o.
 func (a *Announcement) before(o Announcement) bool {
 	if a.Incarnation != o.Incarnation {
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -24,7 +25,9 @@
 	longTimeout    = 500 * time.Millisecond // timeout that counts against the upstream in any case
 	deadlineMargin = 5 * time.Millisecond   // part of the deadline kept for passing on the answer
 	overdueRatio   = 4                      // ratio of the usual time beyond which work is overdue
-	sickForOnce    = 0.3                    // belief in sickness at which work that must not run twice is refused
+	sickForOnce    = 0.3                    // belief in sickness from which an upstream gets trials only
+	trialEvery     = 800 * time.Millisecond // interval between trials
+	trialAgain     = 100 * time.Millisecond // interval after a trial that went well
 	sickOn         = 0.5                    // belief at which the upstream is announced as suspect
 	sickOff        = 0.2                    // belief at which the suspicion is withdrawn
 )
@@ -69,6 +72,7 @@
 	whole     outlier.Sampler
 	work      map[uint64]*work
 	belief    outlier.Belief
+	nextTrial time.Time // before which a sick upstream gets no other trial
 	suspected bool
 	ctl       *admission.Controller
 	waiting   map[uint64]chan admission.Verdict
@@ -105,7 +109,7 @@
 		g.ctl.SetSlots(a.Slots)
 	}
 	g.spec = a
-	g.expires = now.Add(ExpireAfter)
+	g.expires = now.Add(cmp.Or(g.dialect.Expire, ExpireAfter))
 	g.deliver(g.ctl.Drain(a.State == Draining))
 	return changed
 }
@@ -217,6 +221,16 @@
 		return
 	}
 	g.belief.Add(now, e)
+	if e == outlier.Success {
+		g.nextTrial = earlier(g.nextTrial, now.Add(trialAgain))
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // Run ticks until ctx ends, then closes the connections that are idle.
@@ -255,7 +269,7 @@
 func (g *Gate) admit(ctx context.Context, a *Attempt) (uint64, error) {
 	ch := make(chan admission.Verdict, 1)
 	g.mu.Lock()
-	if a.Once && !a.Forced && g.belief.Sick(time.Now()) > sickForOnce {
+	if !g.healthy(time.Now(), a) {
 		g.mu.Unlock()
 		return 0, outcome.NewError(outcome.NotRun, outcome.CodeSuspect, nil)
 	}
@@ -277,6 +291,18 @@
 	}
 }
 
+// healthy reports whether the upstream is well enough for the attempt; a sick one gets a trial now and then of work that may run twice.
+func (g *Gate) healthy(now time.Time, a *Attempt) bool {
+	if a.Forced || g.belief.Sick(now) < sickForOnce {
+		return true
+	}
+	if a.Once || now.Before(g.nextTrial) {
+		return false
+	}
+	g.nextTrial = now.Add(trialEvery)
+	return true
+}
+
 // withdraw takes back a queued ticket; where it started meanwhile its slot is released unused.
 func (g *Gate) withdraw(id uint64, ch chan admission.Verdict) error {
 	g.mu.Lock()
