Unproven upstreams weigh on work that must not run twice; unacknowledged bytes end a connection

Cause: at the start and after silence an upstream of which nothing was known counted as well; connections cut one way were used until their requests timed out. Change: a belief drifts to 0.2 without evidence and weighs 0.9 for work that must not run twice, 0.2 for other work; connections between nodes end 600 ms after bytes that are not acknowledged.

--- a/outlier/belief.go
+++ b/outlier/belief.go
@@ -35,7 +35,10 @@
 	mostBelief  = 0.97
 )
 
-// Belief is the probability that an upstream is sick, as its gate sees it; the zero value takes it for well.
+// Unproven is the belief in the sickness of an upstream of which nothing is known.
+const Unproven = 0.2
+
+// Belief is the probability that an upstream is sick, as its gate sees it; the zero value knows nothing.
 type Belief struct {
 	sick float64
 	at   time.Time
@@ -44,7 +47,7 @@
 // Sick returns the probability at now.
 func (b *Belief) Sick(now time.Time) float64 {
 	if b.at.IsZero() {
-		return leastBelief
+		return Unproven
 	}
 	return Fade(b.sick, now.Sub(b.at))
 }
@@ -54,7 +57,7 @@
 	up, down := 1/fallTime.Seconds(), 1/recoverTime.Seconds()
 	rest := up / (up + down)
 	if sick < rest {
-		return sick // silence alone makes nothing look sick
+		rest = min(rest, Unproven)
 	}
 	return rest + (sick-rest)*math.Exp(-(up+down)*max(0, span.Seconds()))
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,14 +16,28 @@
 	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Timing of connections between nodes.
 const (
 	dialTimeout = 250 * time.Millisecond
 	idleTimeout = 60 * time.Second
+	ackTimeout  = 600 * time.Millisecond // time after which bytes that were not acknowledged end a connection
 )
 
+// limitSilence makes the kernel end a connection whose bytes are not acknowledged.
+func limitSilence(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	})
+	if err == nil {
+		err = failed
+	}
+	return err
+}
+
 // Dialer connects to the address of a node.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -43,7 +58,7 @@
 // NewClient returns a client that connects by dial, or by TCP where dial is nil.
 func NewClient(dial Dialer) *Client {
 	if dial == nil {
-		d := &net.Dialer{Timeout: dialTimeout}
+		d := &net.Dialer{Timeout: dialTimeout, Control: limitSilence}
 		dial = d.DialContext
 	}
 	return &Client{dial: dial, links: make(map[string]*link)}
--- a/routing/group.go
+++ b/routing/group.go
@@ -27,6 +27,7 @@
 	slowWeight    = 0.5                    // cost of an answer that is late by one objective
 	failWeight    = 0.5                    // cost of a certain failure by the evidence
 	sickWeight    = 0.9                    // cost of a certain failure by the belief of the gate
+	sickRepeat    = 0.2                    // the same for work that may be repeated
 	usualRatio    = 0.3                    // ratio of the service time to the objective where it is not known
 	maxSlowness   = 20.0                   // bound of the slowness in the score
 	firstAvoid    = time.Second            // time for which a node is avoided after a path failure
@@ -231,7 +232,7 @@
 // health returns the belief at now that the upstream is sick.
 func (e *endpoint) health(now time.Time) float64 {
 	if e.sickAt.IsZero() {
-		return 0
+		return outlier.Unproven
 	}
 	return outlier.Fade(e.sick, now.Sub(e.sickAt))
 }
@@ -451,7 +452,11 @@
 	if slow := min(maxSlowness, g.detector.Slowness(now, e.ID, q.Class, mean)); slow > 1 {
 		cost += slowWeight * (slow - 1) * ratio
 	}
-	return cost + failWeight*g.detector.Failing(now, e.ID, q.Class) + sickWeight*e.health(now)
+	sick := sickWeight
+	if !q.Once {
+		sick = sickRepeat
+	}
+	return cost + failWeight*g.detector.Failing(now, e.ID, q.Class) + sick*e.health(now)
 }
 
 func (g *Group) mean(now time.Time, class int) float64 {
