--- a/admission/controller.go
+++ b/admission/controller.go
@@ -8,11 +8,12 @@
 // Limits of the queue and the adaptive limit.
 const (
 	queuePerSlot  = 4                      // tickets that one class may queue for each slot
-	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued
+	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued where no objective is known
+	meanMargin    = 1.2                    // ratio of the mean service time that must be left of the objective
 	creditWindow  = 500 * time.Millisecond // span over which an unused guaranteed share is kept
 	serviceWeight = 0.05                   // weight of a new sample in the mean service time
 	refuseHold    = 100 * time.Millisecond // span for which a refusal is advertised
-	growAfter     = 20                     // completions at the limit before it grows by one
+	growAfter     = time.Second            // span without shedding after which the limit grows by one
 	shedHold      = 500 * time.Millisecond // span after a decrease in which no further one happens
 )
 
@@ -31,6 +32,8 @@
 	Name     string
 	Priority int
 	Share    float64
+
+	Objective time.Duration // time within which an answer has its full worth; 0 where it is not known
 }
 
 // Ticket is one request that asks for a slot.
@@ -79,7 +82,6 @@
 	queued   int
 	draining bool
 	last     time.Time
-	streak   int
 	cut      time.Time
 }
 
@@ -179,12 +181,17 @@
 		return Overload
 	}
 	wait := c.wait(t.Class)
-	if wait > maxWait && len(k.queue) >= c.limit || now.Add(wait+seconds(k.mean)).After(t.Deadline) {
+	if wait > k.patience() && len(k.queue) >= c.limit || now.Add(wait+seconds(k.mean)).After(t.Deadline) {
 		return Overload
 	}
 	return ""
 }
 
+// patience is the longest wait after which an answer is still in time.
+func (k *class) patience() time.Duration {
+	return max(maxWait, k.Objective-seconds(meanMargin*k.mean))
+}
+
 // wait estimates the time until a new ticket of the class would start.
 func (c *Controller) wait(index int) time.Duration {
 	k := &c.classes[index]
@@ -250,22 +257,19 @@
 	k.mean += serviceWeight * (took - k.mean)
 }
 
-// adapt lowers the limit when the upstream sheds and raises it again after completions at the limit.
+// adapt lowers the limit when the upstream sheds while it is full, and raises it again as time passes; an upstream that sheds with slots free does so for other reasons than its load.
 func (c *Controller) adapt(now time.Time, res Result) {
-	if res.Shed {
-		c.streak = 0
-		if now.Sub(c.cut) >= shedHold {
-			c.cut = now
-			c.limit = max(1, min(c.limit, len(c.running)+1)-1)
-		}
-		return
+	if res.Shed && len(c.running)+1 >= c.limit && now.Sub(c.cut) >= shedHold {
+		c.cut = now
+		c.limit = max((c.slots+1)/2, c.limit-1)
 	}
-	if c.limit == c.slots || len(c.running)+1 < c.limit {
-		return
-	}
-	c.streak++
-	if c.streak >= growAfter {
-		c.streak = 0
+	c.grow(now)
+}
+
+// grow raises the limit by one for each span without shedding.
+func (c *Controller) grow(now time.Time) {
+	if c.limit < c.slots && now.Sub(c.cut) >= growAfter {
+		c.cut = now
 		c.limit++
 	}
 }
@@ -273,6 +277,7 @@
 // Tick refuses queued tickets whose deadline has passed and starts what can start.
 func (c *Controller) Tick(now time.Time) []Verdict {
 	c.accrue(now)
+	c.grow(now)
 	return c.dispatch(now, c.expire(now))
 }
 
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -98,13 +98,8 @@
 // Timeout returns the longest time a request of the class may take.
 func (c *Class) Timeout() time.Duration { return c.doc.Timeout.Std() }
 
-// Objective returns the time within which an answer has its full worth, or the timeout where none is given.
-func (c *Class) Objective() time.Duration {
-	if c.doc.Objective > 0 {
-		return c.doc.Objective.Std()
-	}
-	return c.doc.Timeout.Std()
-}
+// Objective returns the time within which an answer has its full worth, or 0 where none is given.
+func (c *Class) Objective() time.Duration { return c.doc.Objective.Std() }
 
 // Spill reports whether the work may cross to another region when its own lacks capacity.
 func (c *Class) Spill() bool { return c.doc.Spill }
--- a/node/serve.go
+++ b/node/serve.go
@@ -19,7 +19,8 @@
 
 // Parameters of attempts.
 const (
-	maxAttempts  = 8                      // attempts of one request, refused ones included
+	maxFar       = 1                      // of them to other regions
+	maxAttempts  = 5                      // attempts of one request, refused ones included
 	maxSent      = 4                      // upstreams that one request may be sent to where its route does not say
 	hedgeRatio   = 3                      // ratio to the group's mean after which a second attempt starts
 	hedgeMin     = 60 * time.Millisecond  // least time before a second attempt starts
@@ -96,6 +97,7 @@
 	class    int
 	tried    []string
 	sent     int // attempts that may have reached an upstream
+	far      int // attempts to other regions
 	pending  int
 	results  chan try
 	cancels  []context.CancelFunc
@@ -195,6 +197,9 @@
 	}
 	r.tried = append(r.tried, choice.ID)
 	r.sent++
+	if choice.Tier == routing.OtherRegion {
+		r.far++
+	}
 	r.pending++
 	actx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
@@ -245,7 +250,7 @@
 // again reports whether the result of an attempt allows another one.
 func (r *race) again(t try) bool {
 	r.doubtful = r.doubtful || t.err == nil || mayHaveRun(t.err)
-	if free(t.err) {
+	if notRun(t.err) || free(t.err) {
 		r.sent--
 	}
 	if len(r.tried) >= maxAttempts || !r.job.body.Available() {
--- a/node/trace.go
+++ b/node/trace.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"time"
@@ -70,7 +71,7 @@
 	if o == outcome.Unknown && err != nil {
 		n.events.Add(event.Event{Kind: event.Unknown, Request: r.ID, Text: service + "/" + class + " " + err.Error()})
 	}
-	well := err == nil && status < 500 && len(r.Steps) == 1 && took <= r.Match.Class.Objective()
+	well := err == nil && status < 500 && len(r.Steps) == 1 && took <= cmp.Or(r.Match.Class.Objective(), r.Match.Timeout())
 	if !n.trace.allow(well) {
 		return
 	}
--- a/routing/group.go
+++ b/routing/group.go
@@ -33,7 +33,7 @@
 	firstAvoid    = time.Second            // time for which a node is avoided after a path failure
 	maxAvoid      = 30 * time.Second       // longest time for which a node is avoided
 	sickBar       = 0.3                    // belief in sickness above which an upstream gets trials only
-	forceBar      = 0.7                    // belief above which it gets no work that must not run twice, whatever else there is
+	forceBar      = 0.9                    // belief above which it gets no work that must not run twice, whatever else there is
 	suspectBelief = 0.7                    // belief in the sickness of an upstream that its gate suspects
 	clearedBelief = 0.1                    // belief after the gate has withdrawn its suspicion
 	sickTrial     = 0.12                   // share of the work that may be repeated that a sick upstream gets
