Queues hold half of the time to spare; the bound on far attempts holds

Change: a ticket waits for half of what its objective leaves beside the service time; a second attempt in another region is not made.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -9,6 +9,8 @@
 const (
 	queuePerSlot  = 4                      // tickets that one class may queue for each slot
 	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued where no objective is known
+	minWait       = 50 * time.Millisecond  // expected wait that is always queued
+	waitShare     = 0.5                    // part of the time to spare that work may wait, since service times vary
 	meanMargin    = 1.2                    // ratio of the mean service time that must be left of the objective
 	creditWindow  = 500 * time.Millisecond // span over which an unused guaranteed share is kept
 	serviceWeight = 0.05                   // weight of a new sample in the mean service time
@@ -189,7 +191,10 @@
 
 // patience is the longest wait after which an answer is still in time.
 func (k *class) patience() time.Duration {
-	return max(maxWait, k.Objective-seconds(meanMargin*k.mean))
+	if k.Objective == 0 {
+		return maxWait
+	}
+	return max(minWait, time.Duration(waitShare*float64(k.Objective-seconds(meanMargin*k.mean))))
 }
 
 // wait estimates the time until a new ticket of the class would start.
--- a/node/serve.go
+++ b/node/serve.go
@@ -182,7 +182,7 @@
 		Once:      r.job.once(),
 		Class:     r.class,
 		Exclude:   r.tried,
-		Far:       r.job.match.Class.Spill() && r.n.linkOpen(),
+		Far:       r.job.match.Class.Spill() && r.far < maxFar && r.n.linkOpen(),
 		Spare:     spare,
 		Objective: r.job.match.Class.Objective(),
 	}
