News to other regions rides on heartbeats; one relay pair for each pair of regions

Change: heartbeats to other regions every 2 s, without a flush for each change; a relay speaks to one data centre of each other region; random heartbeats stay in the region but for one in ten. The weight of past failures in the choice is halved, since the gate's belief covers them.

--- a/membership/engine.go
+++ b/membership/engine.go
@@ -9,6 +9,8 @@
 // Intervals and bounds of the protocol.
 const (
 	heartbeat    = time.Second            // interval between heartbeats to one neighbour
+	farHeartbeat = 2 * time.Second        // the same to one in another region
+	farMix       = 0.1                    // share of the random heartbeats that may go to another region
 	joinInterval = 300 * time.Millisecond // interval between attempts to join through a seed
 	syncInterval = 500 * time.Millisecond // least interval between comparisons of whole views
 	settle       = 800 * time.Millisecond // time for which a fresh change explains a difference of views
@@ -250,7 +252,8 @@
 	p := e.rnd.Float64()
 	switch {
 	case p < mixChance:
-		e.sendRandom(now, (*entry).live)
+		far := e.rnd.Float64() < farMix
+		e.sendRandom(now, func(m *entry) bool { return m.live() && (far || !e.far(m)) })
 	case p < mixChance+reviveChance:
 		e.sendRandom(now, func(m *entry) bool { return m.Status == Dead })
 	case p < mixChance+reviveChance+seedChance:
@@ -307,12 +310,15 @@
 // Flush sends queued news without waiting for the next heartbeat.
 func (e *Engine) Flush(now time.Time) {
 	for _, m := range e.near {
-		if len(m.outbox) > 0 && m.misses == 0 {
+		if len(m.outbox) > 0 && m.misses == 0 && !e.far(m) {
 			e.send(now, m)
 		}
 	}
 }
 
+// far reports whether the node is in another region, to which news waits for the next heartbeat so that what changes often is sent once.
+func (e *Engine) far(m *entry) bool { return m.Region != e.self.Region }
+
 // Beat returns a heartbeat without news of members, for a shell that has news of its own.
 func (e *Engine) Beat() Message { return e.message() }
 
@@ -322,8 +328,12 @@
 
 // send sends one heartbeat to m with the news queued for it.
 func (e *Engine) send(now time.Time, m *entry) {
-	jitter := time.Duration(e.rnd.Int64N(int64(heartbeat) / 5))
-	m.due = now.Add(heartbeat - heartbeat/10 + jitter)
+	interval := heartbeat
+	if e.far(m) {
+		interval = farHeartbeat
+	}
+	jitter := time.Duration(e.rnd.Int64N(int64(interval) / 5))
+	m.due = now.Add(interval - interval/10 + jitter)
 	msg := e.message()
 	msg.Members = e.news(m)
 	e.out.Sends = append(e.out.Sends, Send{Name: m.Name, Address: m.Address, Message: msg})
--- a/membership/neighbour.go
+++ b/membership/neighbour.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,14 +45,21 @@
 	}
 }
 
-// addRelays adds one relay of each other data centre.
+// addRelays adds one relay of each other data centre of the region, and one of each other region.
 func (e *Engine) addRelays(i int) {
+	regions := make(map[string][]string) // data centres by region, in order
 	for _, dc := range e.dataCentres() {
-		if dc == e.self.DataCentre {
-			continue
+		r := e.ring(dc)[0].Region
+		regions[r] = append(regions[r], dc)
+	}
+	own := slices.Index(regions[e.self.Region], e.self.DataCentre)
+	for _, r := range slices.Sorted(maps.Keys(regions)) {
+		for k, dc := range regions[r] {
+			near := r == e.self.Region && dc != e.self.DataCentre
+			if ring := e.ring(dc); near || r != e.self.Region && k == (own+i)%len(regions[r]) {
+				e.addNear(ring[i%len(ring)])
+			}
 		}
-		ring := e.ring(dc)
-		e.addNear(ring[i%len(ring)])
 	}
 }
 
--- a/routing/group.go
+++ b/routing/group.go
@@ -25,7 +25,7 @@
 	trialShare    = 0.03                   // share of its fair load that an upstream on trial gets
 	loadWeight    = 0.1                    // cost of a full upstream, in parts of the worth of a request
 	slowWeight    = 0.5                    // cost of an answer that is late by one objective
-	failWeight    = 0.5                    // cost of a certain failure by the evidence
+	failWeight    = 0.25                   // cost of a certain failure by the evidence
 	sickWeight    = 0.9                    // cost of a certain failure by the belief of the gate
 	sickRepeat    = 0.2                    // the same for work that may be repeated
 	usualRatio    = 0.3                    // ratio of the service time to the objective where it is not known
