--- a/admission/controller.go
+++ b/admission/controller.go
@@ -35,6 +35,7 @@
 	Priority int
 	Share    float64
 
+	Once      bool          // the work must not run twice, so that it can't be saved by another upstream
 	Objective time.Duration // time within which an answer has its full worth; 0 where it is not known
 }
 
@@ -125,9 +126,17 @@
 	return out
 }
 
+// before reports whether the class is served before o: by priority, then work that can't be repeated elsewhere.
+func (k Class) before(o Class) bool {
+	if k.Priority != o.Priority {
+		return k.Priority < o.Priority
+	}
+	return k.Once && !o.Once
+}
+
 func (c *Controller) sortOrder() {
 	for i := 1; i < len(c.order); i++ {
-		for j := i; j > 0 && c.classes[c.order[j]].Priority < c.classes[c.order[j-1]].Priority; j-- {
+		for j := i; j > 0 && c.classes[c.order[j]].before(c.classes[c.order[j-1]].Class); j-- {
 			c.order[j], c.order[j-1] = c.order[j-1], c.order[j]
 		}
 	}
@@ -203,7 +212,7 @@
 	ahead := 0.0
 	for i := range c.classes {
 		o := &c.classes[i]
-		if o.Priority <= k.Priority {
+		if !k.before(o.Class) {
 			ahead += float64(len(o.queue)) * o.mean
 		}
 	}
--- a/outlier/belief.go
+++ b/outlier/belief.go
@@ -21,7 +21,7 @@
 type likelihood struct{ well, sick float64 }
 
 var likelihoods = [evidences]likelihood{
-	Success: {well: 0.93, sick: 0.20},
+	Success: {well: 0.93, sick: 0.15},
 	Error:   {well: 0.05, sick: 0.35},
 	Broken:  {well: 0.01, sick: 0.60},
 	Overdue: {well: 0.02, sick: 0.30},
@@ -32,7 +32,7 @@
 	fallTime    = 20 * time.Second // mean time until a well upstream falls sick
 	recoverTime = 8 * time.Second  // mean time until a sick upstream is well
 	leastBelief = 0.002
-	mostBelief  = 0.97
+	mostBelief  = 0.93
 )
 
 // Unproven is the belief in the sickness of an upstream of which nothing is known.
--- a/routing/group.go
+++ b/routing/group.go
@@ -20,6 +20,8 @@
 	loadDecay     = 500 * time.Millisecond // time constant with which a reported load is forgotten
 	refusalAge    = 75 * time.Millisecond  // span for which a reported refusal is believed
 	spareLoad     = 0.9                    // load for each slot above which an upstream has nothing to spare
+	usageDecay    = 2 * time.Second        // time constant with which the load of a region is forgotten
+	usageWeight   = 0.2                    // weight of one report in the load of a region
 	rampTime      = 5 * time.Second        // time until a new upstream has its full share
 	rampStart     = 0.1                    // share of a new upstream
 	trialShare    = 0.03                   // share of its fair load that an upstream on trial gets
@@ -33,7 +35,7 @@
 	firstAvoid    = time.Second            // time for which a node is avoided after a path failure
 	maxAvoid      = 30 * time.Second       // longest time for which a node is avoided
 	sickBar       = 0.3                    // belief in sickness above which an upstream gets trials only
-	forceBar      = 0.9                    // belief above which it gets no work that must not run twice, whatever else there is
+	forceBar      = 0.6                    // belief above which it gets no work that must not run twice, whatever else there is
 	suspectBelief = 0.7                    // belief in the sickness of an upstream that its gate suspects
 	clearedBelief = 0.1                    // belief after the gate has withdrawn its suspicion
 	sickTrial     = 0.12                   // share of the work that may be repeated that a sick upstream gets
@@ -146,6 +148,12 @@
 	avoidFor  time.Duration
 }
 
+// usage is the load for each slot that upstreams of one region last reported.
+type usage struct {
+	load float64
+	at   time.Time
+}
+
 // Group routes the requests of one service.
 type Group struct {
 	service  string
@@ -158,6 +166,7 @@
 	ready    []*endpoint
 	means    []float64 // by class
 	meansAt  time.Time
+	usage    [2]usage // of the own region and of others
 	started  bool
 }
 
@@ -334,7 +343,7 @@
 			return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Forced: true, Health: e.health(now)}, nil
 		}
 	}
-	if best == nil || q.Spare && best.busy(now) {
+	if best == nil || q.Spare && g.busy(now, best) {
 		reason := NoUpstream
 		if refused || best != nil {
 			reason = Busy
@@ -366,7 +375,7 @@
 func (g *Group) last(now time.Time, q Query, last Tier) *endpoint {
 	var best *endpoint
 	for _, e := range g.ready {
-		if e.Tier > last || now.Before(e.avoid) || slices.Contains(q.Exclude, e.ID) || e.refuses(now, q.Class) || q.Once && len(g.ready) > 1 && e.health(now) > forceBar {
+		if e.Tier > last || now.Before(e.avoid) || slices.Contains(q.Exclude, e.ID) || e.refuses(now, q.Class) || e.Tier == OtherRegion && g.busy(now, e) || q.Once && len(g.ready) > 1 && e.health(now) > forceBar {
 			continue
 		}
 		if best == nil || e.health(now) < best.health(now) {
@@ -397,7 +406,7 @@
 	list := g.eligible[q.Class][t]
 	score = math.Inf(1)
 	for range min(choices, len(list)) {
-		e, refused := scan(now, q, list, rnd.IntN(len(list)), best)
+		e, refused := g.scan(now, q, list, rnd.IntN(len(list)), best)
 		busy = busy || refused
 		if e == nil {
 			break
@@ -410,13 +419,13 @@
 }
 
 // scan returns the first usable endpoint at or after start other than skip, and whether one was passed because it refuses.
-func scan(now time.Time, q Query, list []*endpoint, start int, skip *endpoint) (e *endpoint, refused bool) {
+func (g *Group) scan(now time.Time, q Query, list []*endpoint, start int, skip *endpoint) (e *endpoint, refused bool) {
 	for i := range list {
 		e = list[(start+i)%len(list)]
 		if e == skip || now.Before(e.avoid) || e.health(now) > sickBar || slices.Contains(q.Exclude, e.ID) {
 			continue
 		}
-		if e.refuses(now, q.Class) {
+		if e.refuses(now, q.Class) || e.Tier == OtherRegion && g.busy(now, e) {
 			refused = true
 			continue
 		}
@@ -430,12 +439,34 @@
 }
 
 // busy reports whether the upstream has no slot to spare.
-func (e *endpoint) busy(now time.Time) bool { return e.use(now) > spareLoad }
+func (g *Group) busy(now time.Time, e *endpoint) bool { return g.use(now, e) > spareLoad }
+
+// usual returns the load that is to be expected of an upstream of which no recent report is known: that of others in its region.
+func (g *Group) usual(now time.Time, e *endpoint) float64 {
+	u := &g.usage[region(e.Tier)]
+	return u.load * math.Exp(-float64(now.Sub(u.at))/float64(usageDecay)) * float64(e.limit)
+}
+
+// learnUsage takes the reported load of one upstream as a sign of the load of the others in its region.
+func (g *Group) learnUsage(now time.Time, e *endpoint) {
+	u := &g.usage[region(e.Tier)]
+	old := u.load * math.Exp(-float64(now.Sub(u.at))/float64(usageDecay))
+	u.load, u.at = old+usageWeight*(e.load/float64(max(1, e.limit))-old), now
+}
+
+// region returns 0 for the tiers of the own region and 1 for those of others.
+func region(t Tier) int {
+	if t == OtherRegion {
+		return 1
+	}
+	return 0
+}
 
 // use estimates the work for each slot of the upstream, with one request more.
-func (e *endpoint) use(now time.Time) float64 {
+func (g *Group) use(now time.Time, e *endpoint) float64 {
 	age := now.Sub(e.loadAt)
-	load := e.load*math.Exp(-float64(age)/float64(loadDecay)) + float64(max(0, e.own-e.ownAtLoad))
+	fresh := math.Exp(-float64(age) / float64(loadDecay))
+	load := e.load*fresh + (1-fresh)*g.usual(now, e) + float64(max(0, e.own-e.ownAtLoad))
 	load = max(load, float64(e.own))
 	return (load + 1) / (float64(max(1, e.limit)) * e.weight(now))
 }
@@ -447,7 +478,7 @@
 	if mean > 0 && q.Objective > 0 {
 		ratio = min(1, math.Exp(mean)/float64(q.Objective.Microseconds()))
 	}
-	use := e.use(now)
+	use := g.use(now, e)
 	cost := loadWeight*use*use + max(0, use-1)*ratio
 	if slow := min(maxSlowness, g.detector.Slowness(now, e.ID, q.Class, mean)); slow > 1 {
 		cost += slowWeight * (slow - 1) * ratio
@@ -508,6 +539,7 @@
 	e.ownAtLoad = e.own
 	e.loadAt = now
 	e.sick, e.sickAt = o.Sick, now
+	g.learnUsage(now, e)
 	e.limit = o.Load.Limit
 	e.refusing, e.refusedAt = o.Load.Refusing, now
 	g.detector.Report(now, id, class, o.Evidence)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -27,7 +27,7 @@
 	overdueRatio   = 4                      // ratio of the usual time beyond which work is overdue
 	sickForOnce    = 0.3                    // belief in sickness from which an upstream gets trials only
 	trialEvery     = 800 * time.Millisecond // interval between trials
-	trialAgain     = 100 * time.Millisecond // interval after a trial that went well
+	trialAgain     = 50 * time.Millisecond // interval after a trial that went well
 	sickOn         = 0.5                    // belief at which the upstream is announced as suspect
 	sickOff        = 0.2                    // belief at which the suspicion is withdrawn
 )
