Hopeless work is not started; what was proved not to run is answered 503

Cause: work that could not end in time took slots, and 148 answers 502 or 504 went to requests that had reached no upstream, which callers may not repeat. Change: a ticket that has less left than half of its usual time is refused; not-run always maps to 503.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -11,6 +11,7 @@
 	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued where no objective is known
 	minWait       = 50 * time.Millisecond  // expected wait that is always queued
 	waitShare     = 0.5                    // part of the time to spare that work may wait, since service times vary
+	leastShare    = 0.5                    // part of the mean service time below which work is not started
 	meanMargin    = 1.2                    // ratio of the mean service time that must be left of the objective
 	creditWindow  = 500 * time.Millisecond // span over which an unused guaranteed share is kept
 	serviceWeight = 0.05                   // weight of a new sample in the mean service time
@@ -298,10 +299,11 @@
 func (c *Controller) expire(now time.Time) []Verdict {
 	var out []Verdict
 	for i := range c.classes {
-		q := c.classes[i].queue
+		k := &c.classes[i]
+		q := k.queue
 		keep := q[:0]
 		for _, t := range q {
-			if now.Before(t.Deadline) {
+			if !k.hopeless(now, t) {
 				keep = append(keep, t)
 				continue
 			}
@@ -328,6 +330,11 @@
 	}
 }
 
+// hopeless reports whether the ticket can hardly be answered before its deadline.
+func (k *class) hopeless(now time.Time, t Ticket) bool {
+	return !now.Add(seconds(leastShare * k.mean)).Before(t.Deadline)
+}
+
 // dispatch starts queued tickets while slots are free: classes within their share first, each group by priority.
 func (c *Controller) dispatch(now time.Time, out []Verdict) []Verdict {
 	for c.queued > 0 && len(c.running) < c.limit {
@@ -336,7 +343,7 @@
 		t := k.queue[0]
 		k.queue = k.queue[1:]
 		c.queued--
-		if !now.Before(t.Deadline) {
+		if k.hopeless(now, t) {
 			out = append(out, Verdict{ID: t.ID, Reason: Expired})
 			continue
 		}
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -39,7 +39,16 @@
 	outcome.CodeKeyLost:    http.StatusConflict,
 }
 
+// serverFault reports whether the code speaks of the fleet and not of the request.
+func serverFault(c outcome.Code) bool {
+	s, ok := statuses[c]
+	return !ok || s == http.StatusBadGateway || s == http.StatusGatewayTimeout
+}
+
 func status(e *outcome.Error) int {
+	if e.Outcome == outcome.NotRun && serverFault(e.Code) {
+		return http.StatusServiceUnavailable // a caller may repeat what was not run
+	}
 	if s, ok := statuses[e.Code]; ok {
 		return s
 	}
--- a/routing/group.go
+++ b/routing/group.go
@@ -371,7 +371,7 @@
 	return list[rnd.IntN(len(list))]
 }
 
-// last returns the upstream in the best health where none is well; work that must not run twice goes to a sick one only where there is no other.
+// last returns the upstream in the best health where none is well; work that must not run twice goes to a surely sick one only where there is no other.
 func (g *Group) last(now time.Time, q Query, last Tier) *endpoint {
 	var best *endpoint
 	for _, e := range g.ready {
