A doubtful end is never answered as a refusal

Cause: by the request lines, ends such as unknown/canceled and unknown/overload were answered 503, which promises that the work was not run. Change: an unknown outcome never maps to 408, 421, 429 or 503. Test: TestDoubtIsNeverARefusal (failed for canceled, overload, shed and others before).

--- a/caller/problem.go
+++ b/caller/problem.go
@@ -39,6 +39,15 @@
 	outcome.CodeKeyLost:    http.StatusConflict,
 }
 
+// promises reports whether the status tells a caller that its request was not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // serverFault reports whether the code speaks of the fleet and not of the request.
 func serverFault(c outcome.Code) bool {
 	s, ok := statuses[c]
@@ -49,8 +58,12 @@
 	if e.Outcome == outcome.NotRun && serverFault(e.Code) {
 		return http.StatusServiceUnavailable // a caller may repeat what was not run
 	}
-	if s, ok := statuses[e.Code]; ok {
+	s, ok := statuses[e.Code]
+	switch {
+	case ok && (e.Outcome != outcome.Unknown || !promises(s)):
 		return s
+	case e.Outcome == outcome.Unknown:
+		return http.StatusBadGateway
 	}
 	return http.StatusServiceUnavailable
 }
--- /dev/null
+++ b/caller/problem_test.go
@@ -0,0 +1,45 @@
+package caller
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/matryer/is"
+)
+
+// TestDoubtIsNeverARefusal checks that a status which promises that a request was not run is given on proof only.
+func TestDoubtIsNeverARefusal(t *testing.T) {
+	codes := []outcome.Code{
+		outcome.CodeNoRoute, outcome.CodeNoBundle, outcome.CodeBadRequest, outcome.CodeTooLarge, outcome.CodeLimit,
+		outcome.CodeOverload, outcome.CodeExpired, outcome.CodeDraining, outcome.CodeNoUpstream, outcome.CodeShed,
+		outcome.CodeSuspect, outcome.CodeUpstream, outcome.CodeTimeout, outcome.CodeTruncated, outcome.CodeCrossed,
+		outcome.CodePath, outcome.CodeKeyOwner, outcome.CodeKeyMemory, outcome.CodeCanceled,
+	}
+	for _, c := range codes {
+		t.Run(string(c), func(t *testing.T) {
+			is := is.New(t)
+			is.True(!promises(status(outcome.NewError(outcome.Unknown, c, nil))))
+		})
+	}
+}
+
+func TestWhatWasNotRunMayBeRepeated(t *testing.T) {
+	tests := []struct {
+		code outcome.Code
+		want int
+	}{
+		{outcome.CodeOverload, http.StatusServiceUnavailable},
+		{outcome.CodeUpstream, http.StatusServiceUnavailable},
+		{outcome.CodeExpired, http.StatusServiceUnavailable},
+		{outcome.CodePath, http.StatusServiceUnavailable},
+		{outcome.CodeNoRoute, http.StatusNotFound},
+		{outcome.CodeLimit, http.StatusTooManyRequests},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.code), func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(status(outcome.NewError(outcome.NotRun, tt.code, nil)), tt.want)
+		})
+	}
+}
