Work is refused as soon as its wait is beyond its patience

Cause: a class could queue as many tickets as the upstream has slots whatever the wait, so that under overload all were late. Change: the wait alone decides.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -10,7 +10,7 @@
 	queuePerSlot  = 4                      // tickets that one class may queue for each slot
 	maxWait       = 250 * time.Millisecond // longest expected wait that is still queued where no objective is known
 	minWait       = 50 * time.Millisecond  // expected wait that is always queued
-	waitShare     = 0.5                    // part of the time to spare that work may wait, since service times vary
+	waitShare     = 0.3                    // part of the time to spare that work may wait, since service times vary
 	leastShare    = 0.5                    // part of the mean service time below which work is not started
 	meanMargin    = 1.2                    // ratio of the mean service time that must be left of the objective
 	creditWindow  = 500 * time.Millisecond // span over which an unused guaranteed share is kept
@@ -193,7 +193,7 @@
 		return Overload
 	}
 	wait := c.wait(t.Class)
-	if wait > k.patience() && len(k.queue) >= c.limit || now.Add(wait+seconds(k.mean)).After(t.Deadline) {
+	if wait > k.patience() || now.Add(wait+seconds(k.mean)).After(t.Deadline) {
 		return Overload
 	}
 	return ""
