The gate's belief replaces ejection by comparison

Cause: the detector of each node ejected upstreams by their peers' evidence ("stuck", "fails 69% of 29") and let them back after 1.5 s to 60 s and ten trials; on these deployments well upstreams stayed out for long. Change: outlier keeps the sampler and the belief; routing compares costs and keeps, for a group that is short of well upstreams, as many as the floor demands. The load text has 9 fields instead of 17. Lanes learn new classes and are never rebuilt. Events Eject and Restore come from the gate, once for each change.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -56,10 +56,9 @@
 
 // Load describes the controller at one moment.
 type Load struct {
-	Running  int
-	Queued   int
-	Limit    int
-	Refusing uint32 // bit i is set while class i is being refused
+	Running int
+	Queued  int
+	Limit   int
 }
 
 type class struct {
@@ -380,14 +379,13 @@
 
 // Load returns the figures that ride on answers.
 func (c *Controller) Load(now time.Time) Load {
-	l := Load{Running: len(c.running), Queued: c.queued, Limit: c.limit}
-	for i := range c.classes {
-		r := c.classes[i].refused
-		if !r.IsZero() && now.Sub(r) < refuseHold {
-			l.Refusing |= 1 << i
-		}
-	}
-	return l
+	return Load{Running: len(c.running), Queued: c.queued, Limit: c.limit}
+}
+
+// Refusing reports whether tickets of the class were refused a short while ago.
+func (c *Controller) Refusing(now time.Time, class int) bool {
+	r := c.classes[class].refused
+	return !r.IsZero() && now.Sub(r) < refuseHold
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/node/admin.go
+++ b/node/admin.go
@@ -10,7 +10,6 @@
 
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/operator"
-	"github.com/jasminevane/jasminevane/outlier"
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
 	"github.com/jasminevane/jasminevane/platform"
@@ -108,15 +107,15 @@
 
 // Upstreams implements operator.Fleet.
 func (a *admin) Upstreams() []operator.Upstream {
+	now := time.Now()
 	var out []operator.Upstream
 	for name, l := range *a.n.lanes.Load() {
 		l.mu.Lock()
+		sick := l.group.Out(now)
 		for _, u := range l.group.Upstreams() {
 			o := operator.Upstream{ID: u.ID, Service: name, Ready: u.Ready, Tier: int(u.Tier)}
-			for i, class := range l.names {
-				if l.group.Status(u.ID, i) != outlier.Serving {
-					o.Out = append(o.Out, class)
-				}
+			if slices.Contains(sick, u.ID) {
+				o.Out = l.names
 			}
 			out = append(out, o)
 		}
--- a/node/gates.go
+++ b/node/gates.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -184,6 +185,19 @@
 	n.carryOut(out)
 }
 
+// noteHealth records that a gate began or ceased to hold its upstream for sick.
+func (n *Node) noteHealth(g *upstream.Gate, suspect bool) {
+	spec := g.Spec()
+	kind := event.Restore
+	if suspect {
+		kind = event.Eject
+	}
+	sick := g.Load("").Sick
+	n.events.Add(event.Event{Kind: kind, Upstream: spec.ID, Text: fmt.Sprintf("%s sick %.2f", spec.Service, sick)})
+	n.metrics.standing.WithLabelValues(spec.Service, string(kind)).Inc()
+	_ = level.Info(n.logger).Log("msg", "health", "upstream", spec.ID, "service", spec.Service, "suspect", suspect, "sick", sick)
+}
+
 // sweepGates withdraws upstreams that stopped renewing their announcement and announces suspicions.
 func (n *Node) sweepGates(ctx context.Context, now time.Time) {
 	if ctx.Err() != nil {
@@ -201,7 +215,7 @@
 		}
 		suspect := g.Suspect(now)
 		if suspect != n.gates.suspect[g] {
-			_ = level.Info(n.logger).Log("msg", "health", "upstream", g.Spec().ID, "suspect", suspect, "sick", g.Load("").Sick)
+			n.noteHealth(g, suspect)
 		}
 		changed = changed || suspect != n.gates.suspect[g]
 		n.gates.suspect[g] = suspect
--- a/node/members.go
+++ b/node/members.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/membership"
-	"github.com/jasminevane/jasminevane/outlier"
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
 	"github.com/jasminevane/jasminevane/routing"
@@ -19,8 +17,6 @@
 	beatTimeout  = 500 * time.Millisecond
 	syncTimeout  = 3 * time.Second // time for an exchange that carries many records
 	probeTimeout = 400 * time.Millisecond
-	lookTimes    = 6
-	lookEvery    = 120 * time.Millisecond
 )
 
 // fleetView is what requests need to know of the members.
@@ -171,42 +167,6 @@
 	n.mu.Unlock()
 	n.metrics.members.Set(float64(len(v.live)))
 	n.updateLanes(v)
-	for _, c := range changes {
-		if !n.contract.published() {
-			n.lookAtSuspects(c)
-		}
-	}
-}
-
-// lookAtSuspects asks for the evidence on upstreams that their node has begun to suspect.
-func (n *Node) lookAtSuspects(c membership.Change) {
-	if c.New.Name == n.cfg.Name || c.New.Status != membership.Alive {
-		return
-	}
-	for _, u := range c.New.Upstreams {
-		was := slices.ContainsFunc(c.Old.Upstreams, func(o membership.Upstream) bool { return o.ID == u.ID && o.Suspect })
-		l := (*n.lanes.Load())[u.Service]
-		if u.Suspect && !was && l != nil {
-			choice := routing.Choice{ID: c.New.Name + "/" + u.ID, Node: c.New.Name}
-			n.spawn(func() { n.look(l, choice) })
-		}
-	}
-}
-
-// look asks for the evidence on one upstream until it is judged.
-func (n *Node) look(l *lane, c routing.Choice) {
-	for range lookTimes {
-		if n.ask(l, 0, c, l.names[0]) != nil {
-			return
-		}
-		time.Sleep(lookEvery)
-		l.mu.Lock()
-		out := l.group.Status(c.ID, 0) != outlier.Serving
-		l.mu.Unlock()
-		if out || n.stop.Load() {
-			return
-		}
-	}
 }
 
 func (n *Node) noteMember(c membership.Change) {
@@ -231,12 +191,11 @@
 		}
 		for _, u := range m.Upstreams {
 			r := routing.Upstream{
-				ID:    m.Name + "/" + u.ID,
-				Node:  m.Name,
-				Tier:  n.tier(m),
-				Slots: u.Slots,
-				Ready: m.Status == membership.Alive && u.State != membership.Draining,
-
+				ID:      m.Name + "/" + u.ID,
+				Node:    m.Name,
+				Tier:    n.tier(m),
+				Slots:   u.Slots,
+				Ready:   m.Status == membership.Alive && u.State != membership.Draining,
 				Suspect: u.Suspect,
 			}
 			byService[u.Service] = append(byService[u.Service], r)
--- a/node/run.go
+++ b/node/run.go
@@ -15,14 +15,14 @@
 
 // Timing of the node's loops.
 const (
-	tickEvery     = 50 * time.Millisecond
-	ownersEvery   = 200 * time.Millisecond
-	evaluateEvery = 100 * time.Millisecond
-	sweepEvery    = 100 * time.Millisecond
-	adminTimeout  = 30 * time.Second // time to write an answer of the admin port
-	idleTimeout   = 2 * time.Minute
-	handoverWait  = 3 * time.Second // time to hand over the shards at a stop
-	pollEvery     = 10 * time.Millisecond
+	tickEvery    = 50 * time.Millisecond
+	ownersEvery  = 200 * time.Millisecond
+	countEvery   = time.Second
+	sweepEvery   = 100 * time.Millisecond
+	adminTimeout = 30 * time.Second // time to write an answer of the admin port
+	idleTimeout  = 2 * time.Minute
+	handoverWait = 3 * time.Second // time to hand over the shards at a stop
+	pollEvery    = 10 * time.Millisecond
 )
 
 func (n *Node) server(h http.Handler, streaming bool) *http.Server {
@@ -97,7 +97,7 @@
 
 func (n *Node) startLoops(ctx context.Context) {
 	n.loop(ctx, tickEvery, n.tick)
-	n.loop(ctx, evaluateEvery, n.evaluate)
+	n.loop(ctx, countEvery, n.countSick)
 	n.loop(ctx, sweepEvery, n.sweepGates)
 	if n.contract.published() {
 		n.spawn(func() { n.join(ctx) })
--- a/node/serve.go
+++ b/node/serve.go
@@ -110,7 +110,7 @@
 	if l == nil {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, nil)
 	}
-	class, ok := l.index[j.match.Class.Name()]
+	class, ok := l.class(j.match.Class.Name())
 	if !ok {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, nil)
 	}
@@ -383,7 +383,6 @@
 	o := observe(ans, err, time.Since(start))
 	l.mu.Lock()
 	l.group.Observe(time.Now(), c, class, o)
-	l.active = true
 	l.mu.Unlock()
 	if o.PathLost {
 		n.events.Add(event.Event{Kind: event.Avoid, Upstream: c.ID, Request: a.ID, Text: err.Error()})
@@ -426,7 +425,7 @@
 	var o routing.Observation
 	if ans != nil && ans.Load != "" {
 		if load, perr := upstream.ParseLoad(ans.Load); perr == nil {
-			o.Reported, o.Load, o.Evidence, o.Whole, o.Sick = true, load.Load, load.Class, load.Whole, load.Sick
+			o = observation(load)
 		}
 	}
 	var path *peer.PathError
@@ -436,6 +435,10 @@
 	return o
 }
 
+func observation(l upstream.Load) routing.Observation {
+	return routing.Observation{Load: l.Load, Refusing: l.Refusing, Evidence: l.Class, Sick: l.Sick, Reported: true}
+}
+
 // watch asks the node of an upstream for its state when an attempt stays silent, which tells a stuck upstream from a lost path.
 func (n *Node) watch(l *lane, class int, c routing.Choice, name string) (stop func()) {
 	if c.Node == n.cfg.Name {
@@ -460,13 +463,12 @@
 	load, perr := upstream.ParseLoad(text)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.active = true
 	if err != nil || perr != nil {
 		n.client.Reset(m.Address)
 		l.group.Avoid(time.Now(), c.ID)
 		return errors.Errorf("node %s does not answer", c.Node)
 	}
-	l.group.Learn(time.Now(), c.ID, class, routing.Observation{Load: load.Load, Evidence: load.Class, Whole: load.Whole, Sick: load.Sick, Reported: true})
+	l.group.Learn(time.Now(), c.ID, class, observation(load))
 	return nil
 }
 
--- a/outlier/sampler.go
+++ b/outlier/sampler.go
@@ -14,12 +14,10 @@
 
 // Report is the evidence on one upstream and class that rides on answers.
 type Report struct {
-	Mean   float64       // mean of the natural logarithm of the service time in microseconds
-	Spread float64       // standard deviation of the same
-	Fail   float64       // decayed count of failures
-	Count  float64       // decayed count of samples
-	Seq    uint64        // samples since the start
-	Stuck  time.Duration // age of the oldest running work, scaled like the means, where at least two requests run
+	Mean  float64 // mean of the natural logarithm of the service time in microseconds
+	Fail  float64 // decayed count of failures
+	Count float64 // decayed count of samples
+	Seq   uint64  // samples since the start
 }
 
 // Failure returns the share of failures.
@@ -32,10 +30,10 @@
 
 // Sampler condenses the results of one upstream and class, as seen beside the upstream without queue or network.
 type Sampler struct {
-	mean, variance float64
-	fail, count    float64
-	seq            uint64
-	last           time.Time
+	mean        float64
+	fail, count float64
+	seq         uint64
+	last        time.Time
 }
 
 // Add counts one result; the service time of a failure does not change the mean.
@@ -63,52 +61,16 @@
 		return
 	}
 	w := max(sampleWeight, 1-math.Exp(-dt/meanDecay.Seconds()))
-	d := x - s.mean
-	s.mean += w * d
-	s.variance = (1 - w) * (s.variance + w*d*d)
+	s.mean += w * (x - s.mean)
 }
 
 func logTime(d time.Duration) float64 { return math.Log(float64(max(1, d.Microseconds()))) }
 
-// scaleUnit is the service time to which times of different classes are scaled.
-const scaleUnit = 10 * time.Millisecond
-
-// Scale converts a service time into a comparable one for all classes, where unit is the time that the class usually takes; a unit of 0 leaves it as it is.
-func Scale(took, unit time.Duration) time.Duration {
-	if unit <= 0 {
-		return took
-	}
-	return time.Duration(float64(took) / float64(unit) * float64(scaleUnit))
-}
-
-// Thresholds of suspicion, which only makes others look at the evidence.
-const (
-	suspectRatio = 1.7
-	suspectFail  = 0.05
-)
-
-// Suspect reports whether scaled evidence shows signs of sickness.
-func (r Report) Suspect() bool {
-	if r.Stuck > stuckAge || r.Fail >= minFailures && r.Failure() > suspectFail {
-		return true
-	}
-	return r.Seq >= minSamples && r.Mean-logTime(scaleUnit) > math.Log(suspectRatio)
-}
-
-// Running is work that has started and not ended.
-type Running struct {
-	Age  time.Duration // time since the start
-	Unit time.Duration // time that such work usually takes; 0 for work of one class
-}
-
 // Report returns the evidence at now; running work that is older than the mean counts as if it ended now.
-func (s *Sampler) Report(now time.Time, running []Running) Report {
-	r := Report{Mean: s.mean, Spread: math.Sqrt(s.variance), Fail: s.fail, Count: s.count, Seq: s.seq}
-	n := len(running)
-	var oldest time.Duration
-	for _, w := range running {
-		oldest = max(oldest, Scale(w.Age, w.Unit))
-		if x := logTime(Scale(w.Age, w.Unit)); r.Mean > 0 && x > r.Mean {
+func (s *Sampler) Report(now time.Time, running []time.Duration) Report {
+	r := Report{Mean: s.mean, Fail: s.fail, Count: s.count, Seq: s.seq}
+	for _, age := range running {
+		if x := logTime(age); r.Mean > 0 && x > r.Mean {
 			r.Mean += sampleWeight * (x - r.Mean)
 		}
 	}
@@ -117,9 +79,6 @@
 		r.Fail *= decay
 		r.Count *= decay
 	}
-	if n >= 2 {
-		r.Stuck = oldest
-	}
 	return r
 }
 
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -27,7 +27,7 @@
 	overdueRatio   = 4                      // ratio of the usual time beyond which work is overdue
 	sickForOnce    = 0.3                    // belief in sickness from which an upstream gets trials only
 	trialEvery     = 800 * time.Millisecond // interval between trials
-	trialAgain     = 50 * time.Millisecond // interval after a trial that went well
+	trialAgain     = 50 * time.Millisecond  // interval after a trial that went well
 	sickOn         = 0.5                    // belief at which the upstream is announced as suspect
 	sickOff        = 0.2                    // belief at which the suspicion is withdrawn
 )
@@ -69,7 +69,6 @@
 	expires   time.Time
 	classes   map[string]int
 	samplers  []outlier.Sampler
-	whole     outlier.Sampler
 	work      map[uint64]*work
 	belief    outlier.Belief
 	nextTrial time.Time // before which a sick upstream gets no other trial
@@ -171,23 +170,16 @@
 	l := Load{Load: g.ctl.Load(now), Sick: g.belief.Sick(now)}
 	i, ok := g.classes[class]
 	if !ok {
-		i = -1
+		return l
 	}
-	var own, all []outlier.Running
-	g.ctl.Each(func(id uint64, class int, start time.Time) {
-		w := outlier.Running{Age: now.Sub(start)}
+	l.Refusing = g.ctl.Refusing(now, i)
+	var ages []time.Duration
+	g.ctl.Each(func(_ uint64, class int, start time.Time) {
 		if class == i {
-			own = append(own, w)
-		}
-		if k := g.work[id]; k != nil && k.usual > 0 {
-			w.Unit = k.usual
-			all = append(all, w)
+			ages = append(ages, now.Sub(start))
 		}
 	})
-	if ok {
-		l.Class = g.samplers[i].Report(now, own)
-	}
-	l.Whole = g.whole.Report(now, all)
+	l.Class = g.samplers[i].Report(now, ages)
 	return l
 }
 
@@ -348,9 +340,6 @@
 		return
 	}
 	g.samplers[i].Add(now, took, bad)
-	if a.Usual > 0 {
-		g.whole.Add(now, outlier.Scale(took, a.Usual), bad)
-	}
 }
 
 // weigh takes the end of an attempt as evidence on the health of the upstream.
