Trials reach every sick upstream, those of the floor too

Cause: upstreams that the floor keeps in service got no trials, so that their recovery was seen late.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -91,14 +91,13 @@
 
 // Pick chooses the upstream for one attempt and counts it as running; the error is an *Error.
 func (g *Group) Pick(now time.Time, q Query, rnd *rand.Rand) (Choice, error) {
-	bar := g.bar(now)
-	if e := g.trial(now, &q, bar, rnd); e != nil {
+	if e := g.trial(now, &q, rnd); e != nil {
 		c := g.take(now, e)
 		c.Trial = true
 		return c, nil
 	}
 	best, busy := g.cheapest(now, &q, sickBar, rnd)
-	if best == nil && bar > sickBar && !q.Once {
+	if bar := g.bar(now); best == nil && bar > sickBar && !q.Once {
 		best, busy = g.cheapest(now, &q, bar, rnd) // the floor is needed
 	}
 	switch {
@@ -125,14 +124,14 @@
 }
 
 // trial returns a sick upstream for a small share of the requests that may be repeated, which finds out when it is well again.
-func (g *Group) trial(now time.Time, q *Query, bar float64, rnd *rand.Rand) *endpoint {
+func (g *Group) trial(now time.Time, q *Query, rnd *rand.Rand) *endpoint {
 	if q.Once || !q.Trial || len(q.Exclude) > 0 {
 		return nil
 	}
 	var list []*endpoint
 	for t := SameDataCentre; t < OtherRegion; t++ {
 		for _, e := range g.ready[t] {
-			if e.own == 0 && !now.Before(e.avoid) && e.health(now) > bar {
+			if e.own == 0 && !now.Before(e.avoid) && e.health(now) > sickBar {
 				list = append(list, e)
 			}
 		}
