--- a/jasmined/main.go
+++ b/jasmined/main.go
@@ -7,12 +7,16 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jasminevane/jasminevane/node"
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
+// flushLimit bounds the time for which the last log lines hold up the end of the process.
+const flushLimit = 100 * time.Millisecond
+
 func main() {
 	cmd := &cli.Command{
 		Name:  "jasmined",
@@ -42,7 +46,9 @@
 	node.LimitMemory()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(node.NewSink(os.Stdout), cfg)})
+	sink := node.NewSink(os.Stdout)
+	defer sink.Flush(flushLimit)
+	n, err := node.New(cfg, node.Options{Logger: node.NewLogger(sink, cfg)})
 	if err != nil {
 		return errors.Wrap(err, "start")
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -23,6 +23,7 @@
 	idleTimeout  = 2 * time.Minute
 	handoverWait = 3 * time.Second // time to hand over the shards at a stop
 	pollEvery    = 10 * time.Millisecond
+	finishWait   = 200 * time.Millisecond // time for loops and calls to end after the servers are closed
 )
 
 func (n *Node) server(h http.Handler, streaming bool) *http.Server {
@@ -90,11 +91,27 @@
 		_ = srv.Close()
 	}
 	n.stopGates()
-	n.running.Wait()
 	n.client.Close()
+	n.finish(ctx)
 	return errors.Wrap(err, "serve")
 }
 
+// finish waits a little for what still runs and says that the node has stopped.
+func (n *Node) finish(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		n.running.Wait()
+		close(done)
+	}()
+	left := false
+	select {
+	case <-done:
+	case <-time.After(finishWait):
+		left = true
+	}
+	_ = level.Info(n.logger).Log("msg", "stopped", "signal", ctx.Err() != nil, "unfinished", left, "running", n.gates.running())
+}
+
 func (n *Node) startLoops(ctx context.Context) {
 	n.loop(ctx, tickEvery, n.tick)
 	n.loop(ctx, countEvery, n.countSick)
--- a/node/sink.go
+++ b/node/sink.go
@@ -11,6 +11,7 @@
 const (
 	sinkLines   = 2048 // lines that wait to be written
 	sinkReport  = 5 * time.Second
+	flushEvery  = time.Millisecond
 	sampleRate  = 20  // lines a second on requests that went well
 	troubleRate = 300 // lines a second on requests that did not
 )
@@ -18,6 +19,7 @@
 // Sink writes log lines in the background and drops them where its reader is too slow, so that no request waits for a log.
 type Sink struct {
 	lines   chan []byte
+	pending atomic.Int64 // lines taken and not yet written
 	dropped atomic.Uint64
 }
 
@@ -30,14 +32,23 @@
 
 // Write implements io.Writer; it never blocks.
 func (s *Sink) Write(p []byte) (int, error) {
+	s.pending.Add(1)
 	select {
 	case s.lines <- append([]byte(nil), p...):
 	default:
+		s.pending.Add(-1)
 		s.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// Flush waits until all lines taken so far are written, for as long as limit.
+func (s *Sink) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); s.pending.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(flushEvery)
+	}
+}
+
 // Dropped returns how many lines were dropped.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
@@ -46,6 +57,7 @@
 	last := time.Now()
 	for line := range s.lines {
 		_, _ = w.Write(line) // there is nowhere else to say it
+		s.pending.Add(-1)
 		if n := s.dropped.Load(); n > told && time.Since(last) > sinkReport {
 			fmt.Fprintf(w, "level=warn msg=\"log lines dropped\" lines=%d\n", n-told)
 			told, last = n, time.Now()
