Versions in quick succession are read together; contacts stay while nodes restart

Change: after news a reader waits 0.8 s; a node that finds its contact does not write it; contacts of which no node was seen in a minute are removed.

--- a/node/authority.go
+++ b/node/authority.go
@@ -15,6 +15,7 @@
 // Timing of the reading of published versions.
 const (
 	followWait    = 20 * time.Second       // time for which the store holds a reading without news
+	gather        = 800 * time.Millisecond // wait after news, so that versions in quick succession are read together
 	retryStore    = 200 * time.Millisecond // first wait after a failed call
 	maxRetryStore = 2 * time.Second
 )
@@ -62,6 +63,7 @@
 		}
 		if errors.Is(err, platform.ErrGap) {
 			_ = level.Info(n.logger).Log("msg", "versions missed", "after", next, "err", err)
+			n.sleep(ctx, gather/2+rand.N(gather/2))
 			return
 		}
 		n.noteStore(err)
@@ -77,6 +79,9 @@
 		for _, v := range list {
 			n.publish(v)
 		}
+		if len(list)+len(bad) > 0 {
+			n.sleep(ctx, gather)
+		}
 	}
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,22 +2,29 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/platform"
 	"github.com/pkg/errors"
 )
 
-// removeTimeout bounds the removal of the node's contact at a stop.
-const removeTimeout = 500 * time.Millisecond
+// pruneAfter is the time after which a node removes contacts of which it has seen no node.
+const pruneAfter = time.Minute
 
 // join learns the contacts of other nodes from the directory and adds the node's own.
 func (n *Node) join(ctx context.Context) {
 	var b backoff
 	for ctx.Err() == nil {
-		err := n.enrol(ctx)
-		if err == nil || ctx.Err() != nil {
+		list, err := n.enrol(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			n.sleep(ctx, pruneAfter)
+			n.prune(ctx, list)
 			return
 		}
 		_ = level.Warn(n.logger).Log("msg", "directory away", "err", err)
@@ -26,51 +33,55 @@
 }
 
 // enrol reads the directory; where the node's own contact is not there it is written and the directory read again, so that of two nodes that start together one sees the other.
-func (n *Node) enrol(ctx context.Context) error {
+func (n *Node) enrol(ctx context.Context) ([]platform.Contact, error) {
 	self := platform.Contact{Name: n.cfg.Name, Address: n.lns.peer.Addr().String()}
-	known, err := n.learnContacts(ctx, self)
-	if err != nil || known {
-		return err
+	list, err := n.learnContacts(ctx, self)
+	if err != nil || slices.Contains(list, self) {
+		return list, err
 	}
 	if err := n.contract.directory.Register(ctx, self); err != nil {
-		return errors.Wrap(err, "register")
+		return nil, errors.Wrap(err, "register")
 	}
-	_, err = n.learnContacts(ctx, self)
-	return err
+	return n.learnContacts(ctx, self)
 }
 
-// learnContacts takes the contacts as seeds and reports whether the node's own is among them.
-func (n *Node) learnContacts(ctx context.Context, self platform.Contact) (known bool, err error) {
+// learnContacts takes the contacts as seeds.
+func (n *Node) learnContacts(ctx context.Context, self platform.Contact) ([]platform.Contact, error) {
 	list, bad, err := n.contract.directory.List(ctx)
 	if err != nil {
-		return false, errors.Wrap(err, "list")
+		return nil, errors.Wrap(err, "list")
 	}
 	for _, e := range bad {
 		_ = level.Warn(n.logger).Log("msg", "contact refused", "err", e)
 	}
 	var seeds []string
 	for _, c := range list {
-		if c == self {
-			known = true
-		} else if c.Name != self.Name {
+		if c.Name != self.Name {
 			seeds = append(seeds, c.Address)
 		}
 	}
 	n.mu.Lock()
 	n.members.SetSeeds(seeds)
 	n.mu.Unlock()
-	_ = level.Info(n.logger).Log("msg", "directory", "contacts", len(list), "known", known)
-	return known, nil
+	_ = level.Info(n.logger).Log("msg", "directory", "contacts", len(list))
+	return list, nil
 }
 
-// leaveDirectory removes the node's contact.
-func (n *Node) leaveDirectory(ctx context.Context) {
-	if n.contract.directory == nil {
+// prune removes the contacts of which no node was seen; a node that sees under half of the fleet judges none.
+func (n *Node) prune(ctx context.Context, list []platform.Contact) {
+	n.mu.Lock()
+	var lost []string
+	for _, c := range list {
+		if m, ok := n.members.Member(c.Name); !ok || m.Status == membership.Dead || m.Status == membership.Left {
+			lost = append(lost, c.Name)
+		}
+	}
+	n.mu.Unlock()
+	if ctx.Err() != nil || 2*len(lost) > len(list) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
-	defer cancel()
-	if err := n.contract.directory.Remove(ctx, n.cfg.Name); err != nil {
-		_ = level.Warn(n.logger).Log("msg", "contact not removed", "err", err)
+	for _, name := range lost {
+		err := n.contract.directory.Remove(ctx, name)
+		_ = level.Info(n.logger).Log("msg", "contact removed", "member", name, "err", err)
 	}
 }
--- a/node/run.go
+++ b/node/run.go
@@ -165,7 +165,6 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Limits.Drain.Std())
 	defer cancel()
-	n.leaveDirectory(ctx)
 	n.sleep(ctx, n.cfg.Limits.Lame.Std())
 	_ = s.caller.Shutdown(ctx)
 	if !n.contract.published() {
