Retries: a new budget is empty, and half of the reserve comes with time

Change: a budget starts empty; of the node's part of the reserve half can be saved up and the rest comes over the window; with a reserve three quarters of the ratio are spent. Tests: TestRestartGivesNoRetries and TestRetriesOfAWindowStayWithinTheReserve (both failed on the old budget, which granted the reserve at the start).

--- a/node/members.go
+++ b/node/members.go
@@ -14,6 +14,7 @@
 
 // Timing of control messages.
 const (
+	retryWindow  = 10 * time.Second // span in which the reserve of retries may be spent
 	beatTimeout  = 500 * time.Millisecond
 	syncTimeout  = 3 * time.Second // time for an exchange that carries many records
 	probeTimeout = 400 * time.Millisecond
@@ -205,7 +206,7 @@
 	share := n.Bundle().Policy().Reserve() / float64(max(1, len(v.live)))
 	for name, l := range *n.lanes.Load() {
 		l.mu.Lock()
-		l.budget.SetReserve(share)
+		l.budget.SetReserve(share, retryWindow)
 		l.group.Update(now, byService[name])
 		l.mu.Unlock()
 	}
--- a/node/serve.go
+++ b/node/serve.go
@@ -115,7 +115,7 @@
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, nil)
 	}
 	l.mu.Lock()
-	l.budget.Request()
+	l.budget.Request(time.Now())
 	l.mu.Unlock()
 	r := &race{n: n, job: j, lane: l, class: class, results: make(chan try, maxAttempts)}
 	return r.run(ctx)
