--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # Packages whose tests draw histories; a fixed seed gives the same verdict every time.
 DRAWN = ./admission ./bundle ./event ./membership ./outlier ./platform ./quota ./retry ./rollout ./routing
-PLAIN = ./idempotency ./node ./setting ./upstream
+PLAIN = ./caller ./idempotency ./node ./setting ./upstream
 
 # The fuzz of owners runs without the race detector, which makes it 10 times slower; its engines hold no goroutine.
 test:
@@ -23,6 +23,7 @@
 	go test ./ownership -run 'TestAtMostOnce$$' -steps 1000000 -timeout 20m
 	go test ./rollout ./membership ./outlier ./admission ./routing ./quota -rapid.checks 5000 -timeout 20m
 	go test ./bundle -run '^$$' -fuzz FuzzParse -fuzztime 20s
+	for f in FuzzConfig FuzzAnnouncement FuzzChunk FuzzKeyed; do go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime 20s || exit 1; done
 
 lint:
 	for m in $(MODULES); do (cd $$m && go run $(LINT) run ./...) || exit 1; done
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -95,7 +95,12 @@
 }
 
 // Build checks and compiles a document that was not read from TOML; the error is an *InvalidError.
-func Build(d *Document) (*Bundle, error) { return build(d) }
+func Build(d *Document) (*Bundle, error) {
+	if p := d.Check(); len(p) > 0 {
+		return nil, &InvalidError{first: p[0].String(), count: len(p)}
+	}
+	return build(d)
+}
 
 // key returns the name of the route's entry.
 func (r *RouteSpec) key() string {
--- /dev/null
+++ b/node/fakestore_test.go
@@ -0,0 +1,150 @@
+package node_test
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// fakeStore is the platform's store for one test: keyed topics as lists, the operator's among them.
+type fakeStore struct {
+	mu     sync.Mutex
+	topics map[string]*fakeTopic
+	away   bool
+}
+
+type fakeTopic struct {
+	first   uint64
+	records [][]byte
+	newest  map[string][]byte
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{topics: make(map[string]*fakeTopic)} }
+
+func (s *fakeStore) topic(name string) *fakeTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &fakeTopic{newest: make(map[string][]byte)}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (t *fakeTopic) add(data []byte) {
+	t.records = append(t.records, data)
+	n := 1 + int(data[0])
+	key := string(data[1:n])
+	if t.newest[key] = data[n:]; len(data) == n {
+		delete(t.newest, key)
+	}
+}
+
+func (t *fakeTopic) end() uint64 { return t.first + uint64(len(t.records)) }
+
+// put writes a key of the operator's.
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic("keyed.op").add(append(append([]byte{byte(len(key))}, key...), value...))
+}
+
+// forget deletes the operator's history.
+func (s *fakeStore) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic("keyed.op")
+	t.first, t.records = t.end(), nil
+}
+
+// refuse turns all calls away from now on, or serves them again.
+func (s *fakeStore) refuse(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = on
+}
+
+// ServeHTTP implements http.Handler.
+func (s *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	away := s.away
+	s.mu.Unlock()
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	switch r.URL.Path {
+	case "/v1/log-append":
+		s.append(w, r)
+	case "/v1/log-read":
+		s.read(w, r)
+	case "/v1/log-newest":
+		s.list(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *fakeStore) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil || len(data) < 5 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	t.add(data[4:])
+	_ = json.NewEncoder(w).Encode(map[string]uint64{"offset": t.end() - 1, "end_offset": t.end()})
+}
+
+func (s *fakeStore) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseUint(q.Get("from"), 10, 64)
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	for end := time.Now().Add(time.Duration(wait) * time.Millisecond); ; time.Sleep(5 * time.Millisecond) {
+		s.mu.Lock()
+		t := s.topic(q.Get("topic"))
+		first, last, away := t.first, t.end(), s.away
+		var list [][]byte
+		if from >= first && from < last {
+			list = t.records[from-first:]
+		}
+		s.mu.Unlock()
+		switch {
+		case away:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case from < first:
+			w.WriteHeader(http.StatusGone)
+			_ = json.NewEncoder(w).Encode(map[string]uint64{"first_offset": first})
+			return
+		case len(list) > 0 || time.Now().After(end) || r.Context().Err() != nil:
+			out := binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, last), first)
+			for _, rec := range list {
+				out = append(binary.BigEndian.AppendUint32(out, uint32(len(rec))), rec...)
+			}
+			_, _ = w.Write(out)
+			return
+		}
+	}
+}
+
+func (s *fakeStore) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	type item struct {
+		Key   string `json:"key"`
+		Value string `json:"value"`
+	}
+	items := []item{}
+	for k, v := range t.newest {
+		items = append(items, item{k, base64.StdEncoding.EncodeToString(v)})
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items, "has_more": false, "end_offset": t.end()})
+}
--- /dev/null
+++ b/node/store_test.go
@@ -0,0 +1,264 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/jasminevane/jasminevane/node"
+	"github.com/matryer/is"
+)
+
+// storeRig is a fleet that speaks the platform's contract, before a stand-in of the store.
+type storeRig struct {
+	t     *testing.T
+	store *fakeStore
+	web   *httptest.Server
+}
+
+func newStoreRig(t *testing.T) *storeRig {
+	s := newFakeStore()
+	web := httptest.NewServer(s)
+	t.Cleanup(web.Close)
+	return &storeRig{t: t, store: s, web: web}
+}
+
+// start runs a node until the test ends and returns it with a function that stops it.
+func (r *storeRig) start(name string) (*node.Node, func()) {
+	cfg := node.DefaultSettings()
+	cfg.Name, cfg.Region, cfg.DataCentre, cfg.Service = name, "r", "dc", "s1"
+	cfg.Listen.Caller, cfg.Listen.Peer, cfg.Listen.Upstream, cfg.Listen.Admin = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	cfg.Platform.Contract, cfg.Platform.Log = "store", r.web.URL
+	cfg.Limits.Keys, cfg.Retry.Reserve = 0, 20
+	cfg.Limits.Lame = 0
+	n, err := node.New(cfg, node.Options{Logger: log.NewNopLogger()})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = n.Run(ctx)
+	}()
+	stop := func() { cancel(); <-done }
+	r.t.Cleanup(stop)
+	return n, stop
+}
+
+// server starts an upstream that announces itself once and answers as handle says.
+func (r *storeRig) server(n *node.Node, id string, born int, handle http.HandlerFunc) *httptest.Server {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		w.Header().Set("Request-Id", req.Header.Get("Request-Id"))
+		handle(w, req)
+	}))
+	r.t.Cleanup(srv.Close)
+	r.beat(n, id, srv.Listener.Addr().String(), born, 1, "ready")
+	return srv
+}
+
+func (r *storeRig) beat(n *node.Node, id, addr string, born, seq int, state string) int {
+	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":"s1","slots":3},"status":{"state":%q,"seq":%d,"cold_left":"0ms"}}`, addr, born, state, seq)
+	return r.post(n, "/v1/Instances.Heartbeat/"+id, body)
+}
+
+func (r *storeRig) post(n *node.Node, path, body string) int {
+	resp, err := http.Post("http://"+n.Addresses().Upstream+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (r *storeRig) configure(version int, timeout string) {
+	r.store.put("config", fmt.Sprintf(`{"version":"%08x","routes":[
+ {"name":"a","host":"h.example","path_prefix":"/u/","kind":"unsafe","timeout":%q,"slo":"1s","priority":1,"service":"s1","attempts":2},
+ {"name":"b","host":"h.example","path_prefix":"/s/","kind":"safe","timeout":%q,"slo":"1s","priority":1,"service":"s1","attempts":2}],
+ "services":[{"name":"s1"}]}`, version, timeout, timeout))
+}
+
+// ask sends one request and returns the status, the body and the header of the answer.
+func (r *storeRig) ask(n *node.Node, method, path, id string) (int, string, http.Header) {
+	req, err := http.NewRequest(method, "http://"+n.Addresses().Caller+path, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Timeout-Ms", "2000")
+	req.Header.Set("Caller-Service", "forged")
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return resp.StatusCode, string(data), resp.Header
+}
+
+// until repeats ask until the status is seen.
+func (r *storeRig) until(n *node.Node, status int) {
+	r.t.Helper()
+	for i := range 500 {
+		if got, _, _ := r.ask(n, "GET", "/s/x", fmt.Sprintf("until-%d", i)); got == status {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	r.t.Fatalf("status %d is never answered", status)
+}
+
+func sealed(w http.ResponseWriter, text string) {
+	w.Header().Set("Response-Seal", "seal-of-"+text)
+	_, _ = io.WriteString(w, text)
+}
+
+func TestStoreContractServesThroughAnyNode(t *testing.T) {
+	is := is.New(t)
+	r := newStoreRig(t)
+	a, _ := r.start("a")
+	status, _, h := r.ask(a, "POST", "/u/1", "first")
+	is.Equal(status, http.StatusServiceUnavailable) // no configuration is known yet
+	is.True(h.Get("Retry-After") != "")
+	r.configure(3, "2s")
+	b, _ := r.start("b")
+	seen := make(chan http.Header, 100)
+	r.server(a, "i-1", 1, func(w http.ResponseWriter, req *http.Request) {
+		seen <- req.Header.Clone()
+		sealed(w, req.RequestURI)
+	})
+	r.until(b, http.StatusOK)
+	for len(seen) > 0 {
+		<-seen
+	}
+	status, body, h := r.ask(b, "POST", "/u/p%2Fq?x=1&y", "the-id")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "/u/p%2Fq?x=1&y") // passed on as it was written
+	is.Equal(h.Get("Response-Seal"), "seal-of-/u/p%2Fq?x=1&y")
+	is.Equal(h.Get("Request-Id"), "the-id")
+	got := <-seen
+	is.Equal(got.Get("Request-Id"), "the-id")
+	is.Equal(got.Get("Target-Instance"), "i-1")
+	is.Equal(got.Get("Caller-Service"), "s1") // never taken from the caller
+	is.True(got.Get("Timeout-Ms") != "" && got.Get("Timeout-Ms") <= "2000")
+	status, _, _ = r.ask(b, "GET", "/nowhere/", "other")
+	is.Equal(status, http.StatusNotFound)
+}
+
+func TestStoreContractChecksAnswers(t *testing.T) {
+	r := newStoreRig(t)
+	r.configure(1, "2s")
+	n, _ := r.start("a")
+	r.server(n, "i-1", 1, func(w http.ResponseWriter, req *http.Request) {
+		switch req.URL.Path {
+		case "/u/noseal":
+			_, _ = io.WriteString(w, "bare")
+		case "/u/crossed":
+			w.Header().Set("Request-Id", "of-another")
+			sealed(w, "crossed")
+		case "/u/shed":
+			w.Header().Set("Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/u/moved":
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		case "/u/own":
+			w.Header().Set("Response-Seal", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+		default:
+			sealed(w, "fine")
+		}
+	})
+	r.until(n, http.StatusOK)
+	tests := []struct {
+		path   string
+		status int
+	}{
+		{"/u/fine", http.StatusOK},
+		{"/u/noseal", http.StatusBadGateway},
+		{"/u/fine", http.StatusOK},
+		{"/u/shed", http.StatusServiceUnavailable},
+		{"/u/moved", http.StatusServiceUnavailable},
+		{"/u/own", http.StatusInternalServerError},
+		{"/u/fine", http.StatusOK},
+		{"/u/crossed", http.StatusBadGateway},
+	}
+	for i, tt := range tests {
+		t.Run(tt.path, func(t *testing.T) {
+			is := is.New(t)
+			status, _, _ := r.ask(n, "POST", tt.path, fmt.Sprintf("id-%d", i))
+			is.Equal(status, tt.status)
+		})
+	}
+}
+
+func TestStoreContractDrainBindsFromTheAck(t *testing.T) {
+	is := is.New(t)
+	r := newStoreRig(t)
+	r.configure(1, "2s")
+	n, _ := r.start("a")
+	srv := r.server(n, "i-1", 5, func(w http.ResponseWriter, _ *http.Request) { sealed(w, "x") })
+	addr := srv.Listener.Addr().String()
+	r.until(n, http.StatusOK)
+	is.Equal(r.beat(n, "i-1", addr, 5, 2, "draining"), http.StatusOK)
+	status, _, _ := r.ask(n, "POST", "/u/1", "after-the-ack")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(r.post(n, "/v1/Instances.Deregister/i-1", ""), http.StatusOK)
+	is.Equal(r.beat(n, "i-1", addr, 5, 1, "ready"), http.StatusOK) // late: it changes nothing
+	status, _, _ = r.ask(n, "POST", "/u/2", "after-the-end")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(r.beat(n, "i-2", addr, 6, 0, "ready"), http.StatusOK) // another incarnation at the address
+	r.until(n, http.StatusOK)
+}
+
+func TestStoreContractConfigurationOnlyRises(t *testing.T) {
+	is := is.New(t)
+	r := newStoreRig(t)
+	r.configure(7, "2s")
+	a, _ := r.start("a")
+	b, _ := r.start("b")
+	inForce := func(n *node.Node) time.Duration {
+		m, ok := n.Bundle().Route("h.example", "GET", "/s/x")
+		if !ok {
+			return 0
+		}
+		return m.Timeout()
+	}
+	await := func(n *node.Node, want time.Duration) {
+		t.Helper()
+		for range 500 {
+			if inForce(n) == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Fatalf("timeout %v is in force, want %v", inForce(n), want)
+	}
+	await(a, 2*time.Second)
+	await(b, 2*time.Second)
+	r.store.put("config", `{"version":"broken"`)
+	r.configure(5, "9s")
+	r.store.put("config", "\x00")
+	r.configure(9, "1s")
+	await(a, time.Second)
+	await(b, time.Second)
+	r.store.forget()
+	r.configure(12, "1500ms")
+	await(a, 1500*time.Millisecond)
+	is.Equal(inForce(a), 1500*time.Millisecond)
+	r.store.refuse(true)
+	c, _ := r.start("c") // it knows no store and no peer
+	status, _, _ := r.ask(c, "GET", "/s/x", "early")
+	is.Equal(status, http.StatusServiceUnavailable)
+	r.store.refuse(false)
+	await(c, 1500*time.Millisecond)
+}
