jasminectl explain: the way of a request over all nodes from their logs

The door's line names for each attempt the belief on which the upstream was chosen and its age; the gate writes a line on each attempt that did not end well, with its cause, belief, running and queued work. explain joins both with the beliefs and changes of the 10 s before.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	go test -race $(DRAWN) -rapid.seed=1
 	go test -race $(PLAIN)
 	go test ./ownership -rapid.seed=1
+	cd jasminectl && go test -race ./...
 
 fuzz:
 	go test ./ownership -run 'TestAtMostOnce$$' -steps 1000000 -timeout 20m
--- a/jasminectl/main.go
+++ b/jasminectl/main.go
@@ -17,7 +17,7 @@
 			&cli.StringFlag{Name: "admin", Usage: "admin address of any node", Value: "127.0.0.1:8083"},
 			&cli.StringFlag{Name: "token", Usage: "bearer token", Sources: cli.EnvVars("JASMINE_TOKEN")},
 		},
-		Commands: []*cli.Command{keyCommand(), bundleCommand(), statusCommand(), membersCommand(), upstreamsCommand(), timelineCommand()},
+		Commands: []*cli.Command{keyCommand(), bundleCommand(), statusCommand(), membersCommand(), upstreamsCommand(), timelineCommand(), explainCommand()},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/node/logs.go
+++ b/node/logs.go
@@ -372,6 +372,7 @@
 		n.metrics.store.Set(0)
 	case err == nil && was:
 		n.events.Add(event.Event{Kind: event.StoreUp})
+		_ = level.Info(n.logger).Log("msg", "log service back")
 		n.metrics.store.Set(1)
 	}
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -205,7 +205,7 @@
 	r.cancels = append(r.cancels, cancel)
 	a := r.attempt(len(r.tried))
 	a.Usual, a.Forced = usual, choice.Forced
-	s := step{to: choice.ID, at: now.Sub(r.job.start), health: choice.Health, why: choice.Why()}
+	s := step{to: choice.ID, at: now.Sub(r.job.start), choice: choice}
 	go func() {
 		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
 		s.took, s.result = time.Since(now), resultOf(ans, err)
@@ -412,6 +412,7 @@
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.Errorf("upstream %s is not here", id))
 	}
 	ans, err := g.Do(ctx, a)
+	n.noteAttempt(id, a, g, ans, err)
 	load := g.Load(a.Class).String()
 	if err != nil {
 		return &upstream.Answer{Load: load}, err
--- a/node/trace.go
+++ b/node/trace.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/routing"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
@@ -37,14 +39,25 @@
 	to     string
 	at     time.Duration // since the request began
 	took   time.Duration
-	health float64 // belief in sickness on which the upstream was chosen
-	why    string
+	choice routing.Choice
 	result string
 }
 
-// String formats the step as to@at+took(belief)=result.
+// String formats the step as upstream@start+took(why belief/age)=result, times in milliseconds.
 func (s step) String() string {
-	return fmt.Sprintf("%s@%d+%d(%s%.2f)=%s", s.to, s.at.Milliseconds(), s.took.Milliseconds(), s.why, s.health, s.result)
+	return fmt.Sprintf("%s@%d+%d(%s%.2f/%d)=%s", s.to, s.at.Milliseconds(), s.took.Milliseconds(),
+		s.choice.Why(), s.choice.Health, s.choice.Age.Milliseconds(), s.result)
+}
+
+// noteAttempt writes a line on an attempt at an upstream beside this node that did not end well.
+func (n *Node) noteAttempt(id string, a *upstream.Attempt, g *upstream.Gate, ans *upstream.Answer, err error) {
+	if err == nil && ans.Status < http.StatusInternalServerError || !n.trace.allow(false) {
+		return
+	}
+	l := g.Load(a.Class)
+	_ = level.Info(n.logger).Log("msg", "attempt", "id", a.Request, "upstream", id, "class", a.Class, "result", resultOf(ans, err),
+		"sick", fmt.Sprintf("%.2f", l.Sick), "running", l.Load.Running, "queued", l.Load.Queued, "limit", l.Load.Limit,
+		"left", time.Until(a.Deadline).Milliseconds(), "forced", a.Forced, "err", err)
 }
 
 func resultOf(ans *upstream.Answer, err error) string {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -33,9 +33,10 @@
 	ID     string
 	Node   string
 	Tier   Tier
-	Trial  bool    // it finds out whether a sick upstream is well again
-	Forced bool    // no upstream in better health is known
-	Health float64 // belief in the upstream's sickness on which it was chosen
+	Trial  bool          // it finds out whether a sick upstream is well again
+	Forced bool          // no upstream in better health is known
+	Health float64       // belief in the upstream's sickness on which it was chosen
+	Age    time.Duration // of what that belief rests on; negative where nothing was heard
 }
 
 // Why says in one word how the choice was made.
@@ -120,7 +121,11 @@
 
 func (g *Group) take(now time.Time, e *endpoint) Choice {
 	e.own++
-	return Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Health: e.health(now)}
+	c := Choice{ID: e.ID, Node: e.Node, Tier: e.Tier, Health: e.health(now), Age: -time.Millisecond}
+	if !e.sickAt.IsZero() {
+		c.Age = now.Sub(e.sickAt)
+	}
+	return c
 }
 
 // trial returns a sick upstream for a small share of the requests that may be repeated, which finds out when it is well again.
