--- a/outlier/belief.go
+++ b/outlier/belief.go
@@ -23,7 +23,7 @@
 var likelihoods = [evidences]likelihood{
 	Success: {well: 0.93, sick: 0.15},
 	Error:   {well: 0.05, sick: 0.35},
-	Broken:  {well: 0.01, sick: 0.60},
+	Broken:  {well: 0.005, sick: 0.60},
 	Overdue: {well: 0.02, sick: 0.30},
 }
 
@@ -31,7 +31,7 @@
 const (
 	fallTime    = 20 * time.Second // mean time until a well upstream falls sick
 	recoverTime = 8 * time.Second  // mean time until a sick upstream is well
-	leastBelief = 0.002
+	leastBelief = 0.01
 	mostBelief  = 0.93
 )
 
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -71,6 +71,7 @@
 	samplers  []outlier.Sampler
 	work      map[uint64]*work
 	belief    outlier.Belief
+	lastLate  time.Time // of the last evidence that work was overdue
 	nextTrial time.Time // before which a sick upstream gets no other trial
 	suspected bool
 	ctl       *admission.Controller
@@ -201,12 +202,21 @@
 	g.deliver(g.ctl.Tick(now))
 	for _, w := range g.work {
 		if !w.overdue && w.usual > 0 && now.Sub(w.start) > overdueRatio*w.usual {
-			w.overdue = true
-			g.learn(now, outlier.Overdue)
+			g.late(now, w)
 		}
 	}
 }
 
+// late takes overdue work as evidence, unless it ran beside other work that was overdue before: a pause makes all of it late at once.
+func (g *Gate) late(now time.Time, w *work) {
+	w.overdue = true
+	if w.start.Before(g.lastLate) {
+		return
+	}
+	g.lastLate = now
+	g.learn(now, outlier.Overdue)
+}
+
 // learn takes evidence on the health of the upstream; a cold start is no sickness.
 func (g *Gate) learn(now time.Time, e outlier.Evidence) {
 	if e == outlier.Overdue && g.spec.State == Warming {
@@ -353,7 +363,7 @@
 	case r == failed:
 		g.learn(now, outlier.Error)
 	case slow && (r == well || r == late):
-		g.learn(now, outlier.Overdue)
+		g.late(now, w)
 	case r == well:
 		g.learn(now, outlier.Success)
 	}
