--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -48,6 +49,8 @@
 		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 	}))
 	defer srv.Close()
+	resume := sync.OnceFunc(func() { close(pause) })
+	defer resume() // before the server closes, which waits for its work
 	g := newGate(t, srv.Listener.Addr().String(), 4)
 	for i := range 5 {
 		_, err := g.Do(context.Background(), attempt(i, false))
@@ -62,7 +65,7 @@
 	}
 	time.Sleep(20 * usual)
 	is.True(!g.Suspect(time.Now()))
-	close(pause)
+	resume()
 	for range 4 {
 		is.NoErr(<-done)
 	}
