--- a/membership/engine.go
+++ b/membership/engine.go
@@ -8,22 +8,22 @@
 
 // Intervals and bounds of the protocol.
 const (
-	heartbeat    = time.Second            // interval between heartbeats to one neighbour
-	farHeartbeat = 2 * time.Second        // the same to one in another region
-	farMix       = 0.1                    // share of the random heartbeats that may go to another region
-	joinInterval = 300 * time.Millisecond // interval between attempts to join through a seed
-	syncInterval = 500 * time.Millisecond // least interval between comparisons of whole views
-	settle       = 800 * time.Millisecond // time for which a fresh change explains a difference of views
-	probers      = 2                      // nodes asked to try a node that did not answer
-	probeWait    = 700 * time.Millisecond // time for the answers of those nodes
-	misses       = 2                      // failed round trips in a row before a node may be dead
-	forgetAfter  = 10 * time.Minute       // time for which a lost node is remembered
-	mixChance    = 0.25                   // chance of a heartbeat to any other live node in an interval
-	reviveChance = 0.2                    // chance of one to a node that is held for dead
-	seedChance   = 0.05                   // chance of one to a seed
-	maxNews      = 64                     // records in one message outside a comparison of views
-	relays       = 2                      // nodes of a data centre that speak to the others
-	pathHold     = 3 * time.Second        // time for which a one-way cut spares a node from being declared dead
+	heartbeat    = time.Second             // interval between heartbeats to one neighbour
+	farHeartbeat = 1500 * time.Millisecond // the same to one in another region
+	farMix       = 0.1                     // share of the random heartbeats that may go to another region
+	joinInterval = 300 * time.Millisecond  // interval between attempts to join through a seed
+	syncInterval = 500 * time.Millisecond  // least interval between comparisons of whole views
+	settle       = 800 * time.Millisecond  // time for which a fresh change explains a difference of views
+	probers      = 2                       // nodes asked to try a node that did not answer
+	probeWait    = 700 * time.Millisecond  // time for the answers of those nodes
+	misses       = 2                       // failed round trips in a row before a node may be dead
+	forgetAfter  = 10 * time.Minute        // time for which a lost node is remembered
+	mixChance    = 0.25                    // chance of a heartbeat to any other live node in an interval
+	reviveChance = 0.2                     // chance of one to a node that is held for dead
+	seedChance   = 0.05                    // chance of one to a seed
+	maxNews      = 64                      // records in one message outside a comparison of views
+	relays       = 2                       // nodes of a data centre that speak to the others
+	pathHold     = 3 * time.Second         // time for which a one-way cut spares a node from being declared dead
 )
 
 // Message is a heartbeat or its answer.
@@ -68,6 +68,7 @@
 	probing time.Time // end of the wait for the answers of other nodes
 	spared  time.Time // time until which another node's word keeps it from being dead
 	outbox  []string  // names whose records it has not been sent
+	urgent  bool      // the outbox does not wait for the next heartbeat, however far the node is
 }
 
 // Engine is the view of one node.
@@ -184,12 +185,28 @@
 	e.toggle(old)
 	e.changed = now
 	e.out.Changes = append(e.out.Changes, Change{Old: before, New: m})
-	e.spread(m.Name, from)
+	e.spread(m.Name, from, lasting(&before, &m))
 }
 
-func (e *Engine) spread(name, from string) {
+// lasting reports whether a record differs from the one before by more than suspicions.
+func lasting(before, m *Member) bool {
+	if before.Status != m.Status || before.Incarnation != m.Incarnation || before.Address != m.Address || len(before.Upstreams) != len(m.Upstreams) {
+		return true
+	}
+	for i, u := range m.Upstreams {
+		old := before.Upstreams[i]
+		if old.Suspect = u.Suspect; old != u {
+			return true
+		}
+	}
+	return false
+}
+
+// spread queues the record of the named node for the neighbours but from.
+func (e *Engine) spread(name, from string, urgent bool) {
 	e.choose()
 	for _, n := range e.near {
+		n.urgent = n.urgent || urgent && n.Name != from && n.Name != name
 		if n.Name != from && n.Name != name && !slices.Contains(n.outbox, name) {
 			n.outbox = append(n.outbox, name)
 		}
@@ -310,13 +327,13 @@
 // Flush sends queued news without waiting for the next heartbeat.
 func (e *Engine) Flush(now time.Time) {
 	for _, m := range e.near {
-		if len(m.outbox) > 0 && m.misses == 0 && !e.far(m) {
+		if len(m.outbox) > 0 && m.misses == 0 && (m.urgent || !e.far(m)) {
 			e.send(now, m)
 		}
 	}
 }
 
-// far reports whether the node is in another region, to which news waits for the next heartbeat so that what changes often is sent once.
+// far reports whether the node is in another region, to which news of suspicions waits for the next heartbeat so that what changes often is sent once.
 func (e *Engine) far(m *entry) bool { return m.Region != e.self.Region }
 
 // Beat returns a heartbeat without news of members, for a shell that has news of its own.
@@ -348,6 +365,7 @@
 		}
 	}
 	m.outbox = slices.Clone(m.outbox[n:])
+	m.urgent = m.urgent && len(m.outbox) > 0
 	return list
 }
 
--- /dev/null
+++ b/membership/far_test.go
@@ -0,0 +1,48 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/matryer/is"
+)
+
+// TestOtherRegionsHearOfLastingChangesAtOnce checks that a suspicion waits for the next heartbeat to another region and a leaving node does not.
+func TestOtherRegionsHearOfLastingChangesAtOnce(t *testing.T) {
+	up := func(s membership.State, suspect bool) []membership.Upstream {
+		return []membership.Upstream{{ID: "u", Service: "s", Slots: 1, State: s, Suspect: suspect}}
+	}
+	tests := []struct {
+		name   string
+		change func(e *membership.Engine, now time.Time)
+		sent   bool
+	}{
+		{"a suspicion", func(e *membership.Engine, now time.Time) { e.SetUpstreams(now, up(membership.Ready, true)) }, false},
+		{"a draining upstream", func(e *membership.Engine, now time.Time) { e.SetUpstreams(now, up(membership.Draining, false)) }, true},
+		{"a node that leaves", func(e *membership.Engine, now time.Time) { e.SetStatus(now, membership.Leaving) }, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_000_000, 0)
+			self := membership.Member{Name: "a", Incarnation: 1, Region: "r1", DataCentre: "d1", Address: "a:1"}
+			e := membership.New(now, self, nil, rand.New(rand.NewPCG(1, 1)))
+			far := membership.Member{Name: "b", Incarnation: 1, Seq: 1, Status: membership.Alive, Region: "r2", DataCentre: "d2", Address: "b:1"}
+			e.Receive(now, membership.Message{Name: "b", Members: []membership.Member{far}})
+			e.SetUpstreams(now, up(membership.Ready, false))
+			e.Tick(now)
+			e.Flush(now)
+			e.Take()
+			now = now.Add(50 * time.Millisecond)
+			tt.change(e, now)
+			e.Flush(now)
+			sent := false
+			for _, s := range e.Take().Sends {
+				sent = sent || s.Name == "b"
+			}
+			is.Equal(sent, tt.sent)
+		})
+	}
+}
