--- a/jasminelab/logstand/log.go
+++ b/jasminelab/logstand/log.go
@@ -141,8 +141,7 @@
 
 func (p *part) end() uint64 { return p.first + uint64(len(p.records)) }
 
-func (p *part) add(list [][]byte, now time.Time) uint64 {
-	from := p.end()
+func (p *part) add(list [][]byte, now time.Time) {
 	for _, data := range list {
 		r := record{offset: p.end(), at: now, data: data}
 		p.records = append(p.records, r)
@@ -152,7 +151,6 @@
 	}
 	close(p.grown)
 	p.grown = make(chan struct{})
-	return from
 }
 
 // renew makes the record the newest of its key; without a value it drops the key.
--- a/node/serve.go
+++ b/node/serve.go
@@ -384,6 +384,9 @@
 	l.mu.Lock()
 	l.group.Observe(time.Now(), c, class, o)
 	l.mu.Unlock()
+	if c.Trial {
+		n.events.Add(event.Event{Kind: event.Trial, Upstream: c.ID, Request: a.ID, Text: resultOf(ans, err)})
+	}
 	if o.PathLost {
 		n.events.Add(event.Event{Kind: event.Avoid, Upstream: c.ID, Request: a.ID, Text: err.Error()})
 	}
--- a/node/store_test.go
+++ b/node/store_test.go
@@ -29,8 +29,8 @@
 	return &storeRig{t: t, store: s, web: web}
 }
 
-// start runs a node until the test ends and returns it with a function that stops it.
-func (r *storeRig) start(name string) (*node.Node, func()) {
+// start runs a node until the test ends.
+func (r *storeRig) start(name string) *node.Node {
 	cfg := node.DefaultSettings()
 	cfg.Name, cfg.Region, cfg.DataCentre, cfg.Service = name, "r", "dc", "s1"
 	cfg.Listen.Caller, cfg.Listen.Peer, cfg.Listen.Upstream, cfg.Listen.Admin = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
@@ -47,9 +47,8 @@
 		defer close(done)
 		_ = n.Run(ctx)
 	}()
-	stop := func() { cancel(); <-done }
-	r.t.Cleanup(stop)
-	return n, stop
+	r.t.Cleanup(func() { cancel(); <-done })
+	return n
 }
 
 // server starts an upstream that announces itself once and answers as handle says.
@@ -106,16 +105,16 @@
 	return resp.StatusCode, string(data), resp.Header
 }
 
-// until repeats ask until the status is seen.
-func (r *storeRig) until(n *node.Node, status int) {
+// untilServed repeats ask until a request is served.
+func (r *storeRig) untilServed(n *node.Node) {
 	r.t.Helper()
 	for i := range 500 {
-		if got, _, _ := r.ask(n, "GET", "/s/x", fmt.Sprintf("until-%d", i)); got == status {
+		if got, _, _ := r.ask(n, "GET", "/s/x", fmt.Sprintf("until-%d", i)); got == http.StatusOK {
 			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
-	r.t.Fatalf("status %d is never answered", status)
+	r.t.Fatal("no request is served")
 }
 
 func sealed(w http.ResponseWriter, text string) {
@@ -126,18 +125,18 @@
 func TestStoreContractServesThroughAnyNode(t *testing.T) {
 	is := is.New(t)
 	r := newStoreRig(t)
-	a, _ := r.start("a")
+	a := r.start("a")
 	status, _, h := r.ask(a, "POST", "/u/1", "first")
 	is.Equal(status, http.StatusServiceUnavailable) // no configuration is known yet
 	is.True(h.Get("Retry-After") != "")
 	r.configure(3, "2s")
-	b, _ := r.start("b")
+	b := r.start("b")
 	seen := make(chan http.Header, 100)
 	r.server(a, "i-1", 1, func(w http.ResponseWriter, req *http.Request) {
 		seen <- req.Header.Clone()
 		sealed(w, req.RequestURI)
 	})
-	r.until(b, http.StatusOK)
+	r.untilServed(b)
 	for len(seen) > 0 {
 		<-seen
 	}
@@ -158,7 +157,7 @@
 func TestStoreContractChecksAnswers(t *testing.T) {
 	r := newStoreRig(t)
 	r.configure(1, "2s")
-	n, _ := r.start("a")
+	n := r.start("a")
 	r.server(n, "i-1", 1, func(w http.ResponseWriter, req *http.Request) {
 		switch req.URL.Path {
 		case "/u/noseal":
@@ -178,7 +177,7 @@
 			sealed(w, "fine")
 		}
 	})
-	r.until(n, http.StatusOK)
+	r.untilServed(n)
 	tests := []struct {
 		path   string
 		status int
@@ -205,10 +204,10 @@
 	is := is.New(t)
 	r := newStoreRig(t)
 	r.configure(1, "2s")
-	n, _ := r.start("a")
+	n := r.start("a")
 	srv := r.server(n, "i-1", 5, func(w http.ResponseWriter, _ *http.Request) { sealed(w, "x") })
 	addr := srv.Listener.Addr().String()
-	r.until(n, http.StatusOK)
+	r.untilServed(n)
 	is.Equal(r.beat(n, "i-1", addr, 5, 2, "draining"), http.StatusOK)
 	status, _, _ := r.ask(n, "POST", "/u/1", "after-the-ack")
 	is.Equal(status, http.StatusServiceUnavailable)
@@ -217,15 +216,15 @@
 	status, _, _ = r.ask(n, "POST", "/u/2", "after-the-end")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(r.beat(n, "i-2", addr, 6, 0, "ready"), http.StatusOK) // another incarnation at the address
-	r.until(n, http.StatusOK)
+	r.untilServed(n)
 }
 
 func TestStoreContractConfigurationOnlyRises(t *testing.T) {
 	is := is.New(t)
 	r := newStoreRig(t)
 	r.configure(7, "2s")
-	a, _ := r.start("a")
-	b, _ := r.start("b")
+	a := r.start("a")
+	b := r.start("b")
 	inForce := func(n *node.Node) time.Duration {
 		m, ok := n.Bundle().Route("h.example", "GET", "/s/x")
 		if !ok {
@@ -256,7 +255,7 @@
 	await(a, 1500*time.Millisecond)
 	is.Equal(inForce(a), 1500*time.Millisecond)
 	r.store.refuse(true)
-	c, _ := r.start("c") // it knows no store and no peer
+	c := r.start("c") // it knows no store and no peer
 	status, _, _ := r.ask(c, "GET", "/s/x", "early")
 	is.Equal(status, http.StatusServiceUnavailable)
 	r.store.refuse(false)
