--- a/membership/engine.go
+++ b/membership/engine.go
@@ -20,6 +20,7 @@
 	forgetAfter  = 10 * time.Minute        // time for which a lost node is remembered
 	mixChance    = 0.25                    // chance of a heartbeat to any other live node in an interval
 	reviveChance = 0.2                     // chance of one to a node that is held for dead
+	shortShare   = 0.75                    // share of the seeds below which the live nodes known are too few
 	seedChance   = 0.05                    // chance of one to a seed
 	maxNews      = 64                      // records in one message outside a comparison of views
 	relays       = 2                       // nodes of a data centre that speak to the others
@@ -251,6 +252,9 @@
 		e.join(now)
 		return
 	}
+	if e.short() {
+		e.join(now)
+	}
 	e.Flush(now)
 	for _, m := range e.near {
 		if !now.Before(m.due) {
@@ -310,6 +314,17 @@
 	return true
 }
 
+// short reports whether the node knows far fewer live nodes than there are seeds, as in one of several groups that formed when all started at once.
+func (e *Engine) short() bool {
+	live := 0
+	for _, m := range e.members {
+		if m != e.self && m.live() {
+			live++
+		}
+	}
+	return float64(live) < shortShare*float64(len(e.seeds))
+}
+
 func (e *Engine) join(now time.Time) {
 	if now.Before(e.joined) || len(e.seeds) == 0 {
 		return
--- a/membership/far_test.go
+++ b/membership/far_test.go
@@ -46,3 +46,50 @@
 		})
 	}
 }
+
+// TestGroupsThatFormedApartFindEachOther is the case of a fleet whose nodes all start again and meet in small groups: each goes on asking its seeds until it knows most of them.
+func TestGroupsThatFormedApartFindEachOther(t *testing.T) {
+	is := is.New(t)
+	const nodes = 24
+	now := time.Unix(1_000_000, 0)
+	addr := func(i int) string { return string(rune('a'+i)) + ":1" }
+	var seeds []string
+	for i := range nodes {
+		seeds = append(seeds, addr(i))
+	}
+	engines := make(map[string]*membership.Engine)
+	for i := range nodes {
+		dc := []string{"d1", "d2"}[i%2]
+		m := membership.Member{Name: string(rune('a' + i)), Incarnation: 1, Region: dc, DataCentre: dc, Address: addr(i)}
+		engines[addr(i)] = membership.New(now, m, nil, rand.New(rand.NewPCG(uint64(i), 7)))
+	}
+	deliver := func() {
+		for _, a := range seeds {
+			e := engines[a]
+			for _, s := range e.Take().Sends {
+				if to := engines[s.Address]; to != nil {
+					e.Answer(now, s, to.Receive(now, s.Message))
+				}
+			}
+		}
+	}
+	for i := range nodes { // pairs meet first
+		e := engines[addr(i)]
+		e.SetSeeds([]string{addr(i ^ 1)})
+		e.Tick(now)
+	}
+	deliver()
+	for i := range nodes {
+		engines[addr(i)].SetSeeds(seeds)
+	}
+	for range 60 { // 3 s
+		now = now.Add(50 * time.Millisecond)
+		for _, a := range seeds {
+			engines[a].Tick(now)
+		}
+		deliver()
+	}
+	for _, a := range seeds {
+		is.Equal(len(engines[a].Members()), nodes)
+	}
+}
