--- a/node/authority.go
+++ b/node/authority.go
@@ -40,12 +40,9 @@
 		if ctx.Err() != nil {
 			return
 		}
-		n.noteStore(err)
-		if err != nil {
-			n.sleep(ctx, b.wait())
+		if !n.storeAnswered(ctx, err, &b) {
 			continue
 		}
-		b = backoff{}
 		if ok {
 			n.publish(v)
 		}
@@ -66,12 +63,9 @@
 			n.sleep(ctx, gather/2+rand.N(gather/2))
 			return
 		}
-		n.noteStore(err)
-		if err != nil {
-			n.sleep(ctx, b.wait())
+		if !n.storeAnswered(ctx, err, &b) {
 			continue
 		}
-		b = backoff{}
 		next = after
 		for _, e := range bad {
 			_ = level.Warn(n.logger).Log("msg", "version refused", "err", e)
@@ -85,6 +79,17 @@
 	}
 }
 
+// storeAnswered notes how a call of the store ended; after a failed one it waits and returns false.
+func (n *Node) storeAnswered(ctx context.Context, err error, b *backoff) bool {
+	n.noteStore(err)
+	if err != nil {
+		n.sleep(ctx, b.wait())
+		return false
+	}
+	*b = backoff{}
+	return true
+}
+
 // publish puts a version in force where it is newer and tells the neighbours.
 func (n *Node) publish(v platform.Version) {
 	n.mu.Lock()
@@ -104,7 +109,5 @@
 	near := n.members.Neighbours()
 	msg := n.members.Beat()
 	n.mu.Unlock()
-	for _, to := range near {
-		n.spawn(func() { n.push(to.Name, to.Address, msg) })
-	}
+	n.pushAll(near, msg)
 }
--- a/node/logs.go
+++ b/node/logs.go
@@ -160,6 +160,11 @@
 	if len(fresh) == 0 {
 		return
 	}
+	n.pushAll(near, msg)
+}
+
+// pushAll sends news to the neighbours at once.
+func (n *Node) pushAll(near []membership.Member, msg membership.Message) {
 	for _, to := range near {
 		n.spawn(func() { n.push(to.Name, to.Address, msg) })
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,10 +39,9 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	br    *bufio.Reader
-	used  time.Time
-	idle  time.Duration // idle time that the upstream allows
-	fresh bool
+	br   *bufio.Reader
+	used time.Time
+	idle time.Duration // idle time that the upstream allows
 }
 
 // pool keeps the idle connections to one upstream; the zero value is empty.
@@ -61,7 +60,6 @@
 			break
 		}
 		if now.Sub(c.used) < min(limit, c.idle) && c.RemoteAddr().String() == address && c.quiet() {
-			c.fresh = false
 			return c, nil
 		}
 		_ = c.Close()
@@ -71,7 +69,7 @@
 	if err != nil {
 		return nil, &errDial{err}
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idle: idleTimeout, fresh: true}, nil
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), idle: idleTimeout}, nil
 }
 
 func (p *pool) take() *conn {
