Fault soak and a server stand-in that speaks the platform's contract

Cause: the lab's stand-in of a server and its demo spoke only the product's own contract, and nothing ran real processes under faults that overlap on the platform's one.

Before the first green run the soak's own caller was at fault: net/http repeats a GET by itself when a kept connection breaks, so that a request that had run was later answered as not run; callers of the platform's contract now send bodies that net/http doesn't repeat.

Nodes are the lab's build of the node, whose connections pass the link; all else is the program.

--- /dev/null
+++ b/jasminelab/fleet/configuration.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+const (
+	configKey = "config"
+	attempts  = 3
+
+	// OperatorTopic is the topic of the store that the operator writes to.
+	OperatorTopic = "keyed.op"
+
+	// MarkHost is the host of the routes that tell which versions of the configuration are in force.
+	MarkHost = "mark.test"
+)
+
+// Configuration is the operator's configuration on the platform.
+type Configuration struct {
+	Version  string  `json:"version"` // eight hexadecimal digits
+	Routes   []route `json:"routes"`
+	Services []named `json:"services"`
+}
+
+type named struct {
+	Name string `json:"name"`
+}
+
+type route struct {
+	Name     string `json:"name"`
+	Host     string `json:"host"`
+	Prefix   string `json:"path_prefix"`
+	Kind     string `json:"kind"`
+	Timeout  string `json:"timeout"`
+	SLO      string `json:"slo"`
+	Priority int    `json:"priority"`
+	Service  string `json:"service"`
+	Attempts int    `json:"attempts"`
+}
+
+// Mark returns the path under MarkHost that is routed from the version on.
+func Mark(version uint64) string { return fmt.Sprintf("/m/%d/", version) }
+
+// Configuration returns the deployment's configuration in the version; the marks of all versions up to it are routed.
+func (s Shape) Configuration(version uint64) Configuration {
+	c := Configuration{Version: fmt.Sprintf("%08x", version)}
+	for _, v := range s.Services {
+		c.Services = append(c.Services, named{v.Name})
+		for _, k := range v.Classes {
+			kind := "unsafe"
+			if k.Idempotent {
+				kind = "safe"
+			}
+			c.Routes = append(c.Routes, route{
+				Name: v.Name + "-" + k.Name, Host: v.Host, Prefix: k.Prefix + "/", Kind: kind, Timeout: millisText(k.Timeout),
+				SLO: millisText(k.Timeout / 2), Priority: k.Priority, Service: v.Name, Attempts: attempts,
+			})
+		}
+	}
+	mark := s.Services[0]
+	for i := range version {
+		c.Routes = append(c.Routes, route{
+			Name: fmt.Sprintf("mark-%d", i+1), Host: MarkHost, Prefix: Mark(i + 1), Kind: "safe", Timeout: "1s",
+			SLO: "500ms", Priority: mark.Classes[0].Priority, Service: mark.Name, Attempts: attempts,
+		})
+	}
+	return c
+}
+
+func millisText(d time.Duration) string { return fmt.Sprintf("%dms", d.Milliseconds()) }
+
+// Configure writes the configuration to the store as the operator does.
+func (f *Fleet) Configure(c Configuration) error {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	f.Log.Put(OperatorTopic, configKey, data)
+	return nil
+}
--- /dev/null
+++ b/jasminelab/fleet/settings.go
@@ -0,0 +1,81 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"syscall"
+
+	"github.com/jasminevane/jasminevane/jasminelab/upstand"
+)
+
+const (
+	retryRatio   = 0.2
+	retryReserve = 20
+	logDebug     = "JASMINELAB_DEBUG"
+)
+
+// settings returns the settings of a node in TOML.
+func (f *Fleet) settings(name string, site Site, service string, seeds []string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `name = %q
+region = %q
+data_centre = %q
+`, name, site.Region, site.Name)
+	if f.opt.Contract == upstand.Platform {
+		fmt.Fprintf(&b, "service = %q\n", service)
+	}
+	b.WriteString(`[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+upstream = "127.0.0.1:0"
+admin = "127.0.0.1:0"
+`)
+	if f.opt.Contract == upstand.Platform {
+		fmt.Fprintf(&b, `[platform]
+contract = "store"
+log = %q
+[retry]
+ratio = %g
+reserve = %d
+[limits]
+keys = 0
+drain = "5s"
+lame = "1s"
+`, f.Store, retryRatio, retryReserve)
+	} else {
+		fmt.Fprintf(&b, `[peers]
+seeds = [%s]
+[platform]
+log = %q
+[trust]
+keys = [%q, %q]
+`, strings.Join(seeds, ", "), f.Store, f.Keys[0].Public(), f.Keys[1].Public())
+	}
+	fmt.Fprintf(&b, "[log]\nlevel = %q\n", f.logLevel())
+	return b.String()
+}
+
+func (f *Fleet) logLevel() string {
+	if f.opt.Logs != "" || os.Getenv(logDebug) != "" {
+		return "info"
+	}
+	return "error"
+}
+
+// Rewrite changes the settings file of a node; with signal it is told so.
+func (n *Node) Rewrite(text string, signal bool) error {
+	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+		return err
+	}
+	if signal {
+		_ = n.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	return nil
+}
+
+// Settings returns the settings file of a node.
+func (n *Node) Settings() (string, error) {
+	text, err := os.ReadFile(n.file)
+	return string(text), err
+}
--- a/jasminelab/main.go
+++ b/jasminelab/main.go
@@ -5,15 +5,20 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jasminevane/jasminevane/jasminelab/link"
 	"github.com/jasminevane/jasminevane/node"
 	"github.com/urfave/cli/v3"
 )
 
+// flushLimit bounds the time for which the last log lines hold up the end of a node.
+const flushLimit = 100 * time.Millisecond
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -21,7 +26,7 @@
 		Name:  "jasminelab",
 		Usage: "stand-ins, load and experiments",
 		Commands: []*cli.Command{
-			runCommand(), demoCommand(), logCommand(), upstreamCommand(), plotCommand(), nodeCommand(), forwardCommand(),
+			runCommand(), demoCommand(), soakCommand(), logCommand(), upstreamCommand(), plotCommand(), nodeCommand(), forwardCommand(),
 		},
 	}
 	if err := cmd.Run(ctx, os.Args); err != nil {
@@ -40,16 +45,23 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "config", Required: true},
 			&cli.StringFlag{Name: "link"},
+			&cli.BoolFlag{Name: "store-link", Usage: "reach the store through the link too"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			cfg, err := node.LoadSettings(cmd.String("config"))
+			file := cmd.String("config")
+			cfg, err := node.LoadSettings(file)
 			if err != nil {
 				return err
 			}
 			node.LimitMemory()
-			opt := node.Options{Logger: node.NewLogger(os.Stderr, cfg)}
+			sink := node.NewSink(os.Stderr)
+			defer sink.Flush(flushLimit)
+			opt := node.Options{Logger: node.NewLogger(sink, cfg)}
 			if addr := cmd.String("link"); addr != "" {
 				opt.Dial = link.Dialer(addr, cfg.Name)
+				if cmd.Bool("store-link") {
+					opt.Store = &http.Transport{DialContext: opt.Dial}
+				}
 			}
 			n, err := node.New(cfg, opt)
 			if err != nil {
@@ -58,6 +70,9 @@
 			if err := json.NewEncoder(os.Stdout).Encode(n.Addresses()); err != nil {
 				return err
 			}
+			hup := make(chan os.Signal, 1)
+			signal.Notify(hup, syscall.SIGHUP)
+			go n.Watch(ctx, file, hup)
 			return n.Run(ctx)
 		},
 	}
--- /dev/null
+++ b/jasminelab/upstand/platform_test.go
@@ -0,0 +1,119 @@
+package upstand
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/matryer/is"
+)
+
+func start(t *testing.T, node http.HandlerFunc) *Server {
+	t.Helper()
+	web := httptest.NewServer(node)
+	t.Cleanup(web.Close)
+	s, err := Start(Config{ID: "i-1", Service: "s", Slots: 2, Size: 64, Contract: Platform}, web.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+func ask(t *testing.T, s *Server, client *http.Client, id, instance string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.ln.Addr().String()+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.GetBody = nil
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Target-Instance", instance)
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return resp, string(text), err
+}
+
+func TestPlatformAnswers(t *testing.T) {
+	tests := []struct {
+		name         string
+		faults       Faults
+		id, instance string
+		status       int // 0 for a broken connection
+		ran          bool
+	}{
+		{"well", Faults{}, "a", "i-1", http.StatusOK, true},
+		{"early", Faults{Early: 1}, "a", "i-1", http.StatusOK, true},
+		{"another instance", Faults{}, "a", "i-2", http.StatusMisdirectedRequest, false},
+		{"without an id", Faults{}, "", "i-1", http.StatusBadRequest, false},
+		{"shed", Faults{Shed: 1}, "a", "i-1", http.StatusServiceUnavailable, false},
+		{"failed", Faults{Fail: 1}, "a", "i-1", http.StatusInternalServerError, true},
+		{"reset", Faults{Reset: 1}, "a", "i-1", 0, true},
+		{"cut", Faults{Truncate: 1}, "a", "i-1", 0, true},
+		{"unframed", Faults{Unframed: 1}, "a", "i-1", 0, true},
+		{"followed by another", Faults{Extra: 1}, "a", "i-1", http.StatusOK, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, func(http.ResponseWriter, *http.Request) {})
+			s.SetFaults(tt.faults)
+			resp, body, err := ask(t, s, &http.Client{Transport: &http.Transport{}}, tt.id, tt.instance)
+			is.Equal(len(s.Runs()) == 1, tt.ran)
+			if tt.status == 0 {
+				is.True(err != nil)
+				is.True(s.Runs()[0].Broken)
+				return
+			}
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, tt.status)
+			is.Equal(resp.Header.Get("Not-Executed") != "", !tt.ran)
+			if tt.status == http.StatusOK {
+				is.Equal(body, Body("a", 64))
+				is.Equal(resp.Header.Get("Response-Seal"), Seal(body))
+			}
+		})
+	}
+}
+
+func TestPlatformForgetsKeptConnections(t *testing.T) {
+	is := is.New(t)
+	s := start(t, func(http.ResponseWriter, *http.Request) {})
+	s.SetFaults(Faults{Forget: 1})
+	client := &http.Client{Transport: &http.Transport{}}
+	_, _, err := ask(t, s, client, "a", "i-1")
+	is.NoErr(err)
+	_, _, err = ask(t, s, client, "b", "i-1")
+	is.True(err != nil)
+	is.Equal(len(s.Runs()), 1)
+}
+
+func TestPlatformAnnouncesAndLeaves(t *testing.T) {
+	is := is.New(t)
+	said := make(chan string, 100)
+	s := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		said <- r.URL.Path + " " + string(text)
+	})
+	first := <-said
+	is.True(strings.HasPrefix(first, "/v1/Instances.Heartbeat/i-1 "))
+	is.True(strings.Contains(first, `"state":"ready","seq":1`))
+	s.SetState(context.Background(), upstream.Draining)
+	is.True(strings.Contains(<-said, `"state":"draining"`))
+	is.True(!s.Acked().IsZero() && !s.Acked().After(time.Now()))
+	s.Leave(context.Background())
+	for text := range said {
+		if strings.HasPrefix(text, "/v1/Instances.Deregister/i-1") {
+			return
+		}
+	}
+}
