--- a/routing/group_test.go
+++ b/routing/group_test.go
@@ -31,13 +31,16 @@
 		name   string
 		load   int // running at the near ones
 		region int // running in the rest of the region
+		beyond int // running in the other region
 		far    bool
 		want   routing.Tier
 	}{
-		{"idle", 0, 0, true, routing.SameDataCentre},
-		{"the data centre is full", 9, 0, false, routing.SameRegion},
-		{"the region is full and the work may not cross", 60, 30, false, routing.SameRegion},
-		{"the region is full and the work may cross", 60, 30, true, routing.OtherRegion},
+		{"idle", 0, 0, 0, true, routing.SameDataCentre},
+		{"the data centre is full", 9, 0, 0, false, routing.SameRegion},
+		{"the region is full and the work may not cross", 60, 30, 0, false, routing.SameRegion},
+		{"the region is full and the work may cross", 60, 30, 0, true, routing.OtherRegion},
+		{"the other region has room", 60, 30, 2, true, routing.OtherRegion},
+		{"the other region has little room", 60, 30, 3, true, routing.SameRegion},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -46,11 +49,8 @@
 			list := upstreams(6, func(i int) routing.Tier { return routing.Tier(i / 2) })
 			g.Update(epoch, list)
 			now := epoch.Add(time.Minute)
-			for i, u := range list[:4] {
-				load := tt.load
-				if i >= 2 {
-					load = tt.region
-				}
+			for _, u := range list {
+				load := [...]int{tt.load, tt.region, tt.beyond}[u.Tier]
 				g.Learn(now, u.ID, 0, routing.Observation{Reported: true, Load: admission.Load{Running: load, Limit: 5}})
 			}
 			c, err := g.Pick(now, routing.Query{Far: tt.far}, rand.New(rand.NewPCG(1, 1)))
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -12,6 +12,7 @@
 const (
 	choices     = 3    // candidates of one tier compared for a request
 	spareLoad   = 0.9  // load for each slot above which an upstream has nothing to spare
+	farLoad     = 0.75 // the same for requests from another region, whose bytes are dear
 	loadWeight  = 0.1  // cost of a full upstream
 	slowWeight  = 0.5  // cost of an answer that is late by one objective
 	failWeight  = 0.25 // cost of a certain failure by the evidence
@@ -26,7 +27,7 @@
 )
 
 // tierCosts are the costs of distance.
-var tierCosts = [tiers]float64{0, 0.03, 0.3}
+var tierCosts = [tiers]float64{0, 0.06, 1}
 
 // Choice is the upstream chosen for one attempt.
 type Choice struct {
@@ -198,9 +199,9 @@
 	return !now.Before(e.avoid) && !slices.Contains(q.Exclude, e.ID)
 }
 
-// full reports whether the upstream would refuse the class, or is in another region and has no slot to spare.
+// full reports whether the upstream would refuse the class, or is in another region and has little to spare.
 func (g *Group) full(now time.Time, e *endpoint, class int) bool {
-	return now.Sub(e.class(class).refused) < refusalAge || e.Tier == OtherRegion && g.busy(now, e)
+	return now.Sub(e.class(class).refused) < refusalAge || e.Tier == OtherRegion && g.use(now, e) > farLoad
 }
 
 // healthiest returns the upstream in the best health where none is well; work that must not run twice goes to a surely sick one only where there is no other.
