--- a/jasminelab/upstand/serve.go
+++ b/jasminelab/upstand/serve.go
@@ -1,6 +1,7 @@
 package upstand
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	healthPath  = "/healthz"
 	idleSeconds = 5 // for which a connection may stay idle, as answers state it
 	extraBody   = "late"
+	maxLag      = 40 * time.Millisecond // after an answer, within which a second one follows
 )
 
 // plan is what happens to one request.
@@ -28,6 +30,7 @@
 	shed, reset, early      bool
 	extra, unframed, forget bool
 	pause                   time.Duration
+	lag                     time.Duration // of a second answer behind the first
 }
 
 // connKey is the key of a request's connection in its context.
@@ -195,6 +198,7 @@
 	}
 	p.hang = f.Hang
 	p.fail, p.cut, p.reset = draw(f.Fail), draw(f.Truncate), draw(f.Reset)
+	p.lag = time.Duration(s.rnd.Int64N(int64(maxLag)))
 	p.early, p.extra, p.unframed, p.forget = draw(f.Early), draw(f.Extra), draw(f.Unframed), draw(f.Forget)
 	return p
 }
@@ -257,19 +261,24 @@
 		_ = c.Close()
 		return
 	}
-	for _, body := range []string{Body(tag, s.cfg.Size), extraBody} {
-		fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n", s.dialect.Attempt, tag, len(body))
-		if s.dialect.Proof != "" {
-			fmt.Fprintf(buf, "%s: %s\r\n", s.dialect.Proof, Seal(body))
-		}
-		fmt.Fprintf(buf, "\r\n%s", body)
-	}
-	_ = buf.Flush()
+	s.write(buf, tag, Body(tag, s.cfg.Size))
 	go func() {
+		defer c.Close()
+		time.Sleep(p.lag)
+		s.write(buf, tag, extraBody)
 		_, _ = io.Copy(io.Discard, c)
-		_ = c.Close()
 	}()
 }
 
+// write puts a whole answer on a connection that the HTTP server has let go.
+func (s *Server) write(buf *bufio.ReadWriter, tag, body string) {
+	fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n", s.dialect.Attempt, tag, len(body))
+	if s.dialect.Proof != "" {
+		fmt.Fprintf(buf, "%s: %s\r\n", s.dialect.Proof, Seal(body))
+	}
+	fmt.Fprintf(buf, "\r\n%s", body)
+	_ = buf.Flush() // a peer that has gone reads nothing more
+}
+
 // Seal returns the proof that belongs to a whole body.
 func Seal(body string) string { return strconv.FormatUint(xxhash.Sum64String(body), 16) }
