A far upstream with a slot to spare is used again; the demo takes the store away

Cause: with the bar of 0.75 a fleet refuses work while upstreams of the other region have two slots of five free. A gain in price that serves callers worse is none. Change: the bar is 0.9 again, as everywhere; distance keeps its cost of 0.06 and 1, so that another region comes after queueing in the own one. The demo: a node is replaced, a server leaves, the store goes away and comes back with version 2. Conclusion: the bar is out, the cost of distance stays.

--- a/jasminelab/experiment/demo.go
+++ b/jasminelab/experiment/demo.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevane/jasminevane/jasminelab/fleet"
 	"github.com/jasminevane/jasminevane/jasminelab/load"
+	"github.com/jasminevane/jasminevane/jasminelab/logstand"
 	"github.com/jasminevane/jasminevane/jasminelab/upstand"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
@@ -19,7 +20,7 @@
 	demoStep  = 4 * time.Second
 )
 
-// Demo brings up a small fleet, sends traffic of all priorities while upstreams and nodes fail, and prints a table and the audit.
+// Demo brings up a small fleet on the platform's contract, sends traffic of all priorities while upstreams and nodes fail, and prints a table and the audit.
 func Demo(ctx context.Context, opt Options) error {
 	r := &Run{opt: opt}
 	shape := fleet.Carritos(demoScale)
@@ -74,10 +75,18 @@
 		return err
 	}
 	sleep(ctx, demoStep)
-	r.progress("%s is well again", gray.ID())
+	r.progress("%s leaves; the store goes away", leaving.ID())
+	leaving.Leave(ctx)
+	f.Log.SetFaults(logstand.Faults{Down: true})
+	sleep(ctx, demoStep)
+	r.progress("the store is back and takes version 2; %s is well again", gray.ID())
+	f.Log.SetFaults(logstand.Faults{})
+	if err := f.Configure(f.Shape.Configuration(2)); err != nil {
+		return err
+	}
 	gray.SetFaults(upstand.Faults{})
 	sleep(ctx, demoStep)
-	return nil
+	return f.Ready(ctx, 2)
 }
 
 func table(opt Options, list []load.Summary) {
--- a/routing/group_test.go
+++ b/routing/group_test.go
@@ -39,8 +39,10 @@
 		{"the data centre is full", 9, 0, 0, false, routing.SameRegion},
 		{"the region is full and the work may not cross", 60, 30, 0, false, routing.SameRegion},
 		{"the region is full and the work may cross", 60, 30, 0, true, routing.OtherRegion},
-		{"the other region has room", 60, 30, 2, true, routing.OtherRegion},
-		{"the other region has little room", 60, 30, 3, true, routing.SameRegion},
+		{"the other region has a slot to spare", 60, 30, 3, true, routing.OtherRegion},
+		{"the other region has none", 60, 30, 4, true, routing.SameRegion},
+		{"the data centre is busy and the region is not", 5, 0, 0, true, routing.SameRegion},
+		{"the region is busy and the work may cross", 8, 6, 0, true, routing.SameRegion},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -12,7 +12,6 @@
 const (
 	choices     = 3    // candidates of one tier compared for a request
 	spareLoad   = 0.9  // load for each slot above which an upstream has nothing to spare
-	farLoad     = 0.75 // the same for requests from another region, whose bytes are dear
 	loadWeight  = 0.1  // cost of a full upstream
 	slowWeight  = 0.5  // cost of an answer that is late by one objective
 	failWeight  = 0.25 // cost of a certain failure by the evidence
@@ -199,9 +198,9 @@
 	return !now.Before(e.avoid) && !slices.Contains(q.Exclude, e.ID)
 }
 
-// full reports whether the upstream would refuse the class, or is in another region and has little to spare.
+// full reports whether the upstream would refuse the class, or is in another region and has no slot to spare.
 func (g *Group) full(now time.Time, e *endpoint, class int) bool {
-	return now.Sub(e.class(class).refused) < refusalAge || e.Tier == OtherRegion && g.use(now, e) > farLoad
+	return now.Sub(e.class(class).refused) < refusalAge || e.Tier == OtherRegion && g.busy(now, e)
 }
 
 // healthiest returns the upstream in the best health where none is well; work that must not run twice goes to a surely sick one only where there is no other.
