Metrics of attempts by result and data centre, and of requests by outcome

Cause: a full or badly reached data centre could not be told from the metrics: attempts were not counted, and the latency of refusals was mixed with that of answers. Change: jasmine_attempts_total and jasmine_attempt_seconds with the upstream's data centre; the outcome as a label of jasmine_request_seconds; the node's own data centre on all of them. Labels are bounded by the bundle, the data centres and the codes.

--- a/node/lane.go
+++ b/node/lane.go
@@ -14,12 +14,13 @@
 
 // lane holds what the requests of one service share at this node.
 type lane struct {
-	mu     sync.Mutex
-	group  *routing.Group
-	budget *retry.Budget
-	rnd    *rand.Rand
-	index  map[string]int // classes by name
-	names  []string
+	service string
+	mu      sync.Mutex
+	group   *routing.Group
+	budget  *retry.Budget
+	rnd     *rand.Rand
+	index   map[string]int // classes by name
+	names   []string
 }
 
 // rebuildLanes makes lanes for the services of a new bundle; a service keeps its lane, which learns new classes.
@@ -64,10 +65,11 @@
 
 func (n *Node) newLane(s *bundle.Service) *lane {
 	return &lane{
-		group:  routing.NewGroup(s.Name(), n.cfg.Name, s.Floor()),
-		budget: retry.NewBudget(0),
-		rnd:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		index:  make(map[string]int),
+		service: s.Name(),
+		group:   routing.NewGroup(s.Name(), n.cfg.Name, s.Floor()),
+		budget:  retry.NewBudget(0),
+		rnd:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		index:   make(map[string]int),
 	}
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,12 @@
 package node
 
 import (
+	"strconv"
+	"time"
+
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 )
@@ -12,6 +18,8 @@
 	registry  *prometheus.Registry
 	requests  *prometheus.CounterVec
 	latency   *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	answers   *prometheus.HistogramVec
 	standing  *prometheus.CounterVec
 	members   prometheus.Gauge
 	ejected   prometheus.Gauge
@@ -21,18 +29,26 @@
 	linkBytes prometheus.Counter
 }
 
-func newMetrics() *metrics {
+// newMetrics returns the metrics of a node in the data centre.
+func newMetrics(dataCentre string) *metrics {
+	here := prometheus.Labels{"data_centre": dataCentre}
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "jasmine", Name: name, Help: help})
 	}
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: "jasmine", Name: "requests_total", Help: "Requests of callers by outcome and code.",
+			Namespace: "jasmine", Name: "requests_total", Help: "Requests of callers by outcome and code, at a node of the data centre.", ConstLabels: here,
 		}, []string{"service", "class", "outcome", "code"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: "jasmine", Name: "request_seconds", Help: "Time to answer a caller.", Buckets: latencyBuckets,
-		}, []string{"service", "class"}),
+			Namespace: "jasmine", Name: "request_seconds", Help: "Time to answer a caller, at a node of the data centre.", Buckets: latencyBuckets, ConstLabels: here,
+		}, []string{"service", "class", "outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "jasmine", Name: "attempts_total", Help: "Attempts at upstreams of the data centre to, by result.", ConstLabels: here,
+		}, []string{"service", "class", "to", "result"}),
+		answers: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: "jasmine", Name: "attempt_seconds", Help: "Time of an attempt at an upstream of the data centre to.", Buckets: latencyBuckets, ConstLabels: here,
+		}, []string{"service", "to"}),
 		standing: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "jasmine", Name: "standing_changes_total", Help: "Changes of the standing of upstreams.",
 		}, []string{"service", "to"}),
@@ -43,8 +59,26 @@
 		store:     gauge("log_up", "1 while the platform's log answers."),
 		linkBytes: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests and answers to other regions."}),
 	}
-	m.registry.MustRegister(m.requests, m.latency, m.standing, m.members, m.ejected, m.version, m.shards, m.store, m.linkBytes,
+	m.registry.MustRegister(m.requests, m.latency, m.attempts, m.answers, m.standing, m.members, m.ejected, m.version, m.shards, m.store, m.linkBytes,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.store.Set(1)
 	return m
 }
+
+// attempt counts an attempt that took some time and ended with an answer or an error.
+func (m *metrics) attempt(service, class, to string, ans *upstream.Answer, err error, took time.Duration) {
+	m.attempts.WithLabelValues(service, class, to, resultLabel(ans, err)).Inc()
+	m.answers.WithLabelValues(service, to).Observe(took.Seconds())
+}
+
+// resultLabel condenses the result of an attempt to one of few values: the class of the status, or the outcome and code of the error.
+func resultLabel(ans *upstream.Answer, err error) string {
+	var e *outcome.Error
+	switch {
+	case errors.As(err, &e):
+		return string(e.Outcome) + "/" + string(e.Code)
+	case err != nil:
+		return string(outcome.CodePath)
+	}
+	return strconv.Itoa(ans.Status/100) + "xx"
+}
--- /dev/null
+++ b/node/metrics_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+func TestAttemptsAreCountedByResultAndDataCentre(t *testing.T) {
+	tests := []struct {
+		name   string
+		ans    *upstream.Answer
+		err    error
+		result string
+	}{
+		{"answer", &upstream.Answer{Status: 204}, nil, "2xx"},
+		{"failure", &upstream.Answer{Status: 502}, nil, "5xx"},
+		{"refusal", nil, outcome.NewError(outcome.NotRun, outcome.CodeOverload, nil), "not-run/overload"},
+		{"doubt", nil, outcome.NewError(outcome.Unknown, outcome.CodeTimeout, nil), "unknown/timeout"},
+		{"path", nil, errors.New("dial tcp 127.0.0.1:1: refused"), "path-lost"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMetrics("here")
+			m.attempt("s", "c", "there", tt.ans, tt.err, time.Millisecond)
+			is.Equal(testutil.ToFloat64(m.attempts.WithLabelValues("s", "c", "there", tt.result)), 1.0)
+			is.Equal(testutil.CollectAndCount(m.answers), 1)
+		})
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -93,7 +93,7 @@
 	seed := uint64(now.UnixNano())
 	n.events = event.NewRing(cfg.Name, &n.clock, cfg.Limits.Events)
 	n.client = peer.NewClient(opt.Dial)
-	n.metrics = newMetrics()
+	n.metrics = newMetrics(cfg.DataCentre)
 	n.trace = newTracer()
 	self := membership.Member{
 		Name:        cfg.Name,
--- a/node/serve.go
+++ b/node/serve.go
@@ -380,7 +380,9 @@
 	stop := n.watch(l, class, c, a.Class)
 	ans, err := n.carry(ctx, c, a)
 	stop()
-	o := observe(ans, err, time.Since(start))
+	took := time.Since(start)
+	n.metrics.attempt(l.service, a.Class, n.dataCentre(c.Node), ans, err, took)
+	o := observe(ans, err, took)
 	l.mu.Lock()
 	l.group.Observe(time.Now(), c, class, o)
 	l.mu.Unlock()
@@ -396,6 +398,14 @@
 	return ans, err
 }
 
+// dataCentre returns where the named node is, or an empty string once it has gone.
+func (n *Node) dataCentre(node string) string {
+	if node == n.cfg.Name {
+		return n.cfg.DataCentre
+	}
+	return n.view.Load().byName[node].DataCentre
+}
+
 func (n *Node) carry(ctx context.Context, c routing.Choice, a *upstream.Attempt) (*upstream.Answer, error) {
 	id := c.ID[len(c.Node)+1:]
 	if c.Node == n.cfg.Name {
--- a/node/trace.go
+++ b/node/trace.go
@@ -80,7 +80,7 @@
 		code = e.Code
 	}
 	n.metrics.requests.WithLabelValues(service, class, string(o), string(code)).Inc()
-	n.metrics.latency.WithLabelValues(service, class).Observe(took.Seconds())
+	n.metrics.latency.WithLabelValues(service, class, string(o)).Observe(took.Seconds())
 	if o == outcome.Unknown && err != nil {
 		n.events.Add(event.Event{Kind: event.Unknown, Request: r.ID, Text: service + "/" + class + " " + err.Error()})
 	}
