Work that may be repeated goes on elsewhere once the way back from a gate is lost

Change: a gate that does not answer the question after its state starts another attempt beside the silent one, from the retry budget; the silent one goes on. A test on stand-ins fails without it (502).

--- a/node/serve.go
+++ b/node/serve.go
@@ -100,6 +100,7 @@
 	far      int // attempts to other regions
 	pending  int
 	results  chan try
+	lost     chan struct{} // the path to an upstream that is silent is lost
 	cancels  []context.CancelFunc
 	doubtful bool // an attempt may have run
 }
@@ -117,7 +118,7 @@
 	l.mu.Lock()
 	l.budget.Request(time.Now())
 	l.mu.Unlock()
-	r := &race{n: n, job: j, lane: l, class: class, results: make(chan try, maxAttempts)}
+	r := &race{n: n, job: j, lane: l, class: class, results: make(chan try, maxAttempts), lost: make(chan struct{}, maxAttempts)}
 	return r.run(ctx)
 }
 
@@ -142,13 +143,20 @@
 				return r.finish(t)
 			}
 		case <-hedge.C:
-			if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.sent < r.limit() && r.take() {
-				_ = r.launch(ctx, true) // the first attempt goes on alone
-			}
+			r.beside(ctx, true)
+		case <-r.lost:
+			r.beside(ctx, false)
 		}
 	}
 }
 
+// beside starts another attempt while one goes on, where the work may be repeated; spare asks for an upstream with capacity to spare.
+func (r *race) beside(ctx context.Context, spare bool) {
+	if !r.job.once() && r.job.body.Repeatable() && len(r.tried) < maxAttempts && r.sent < r.limit() && r.take() {
+		_ = r.launch(ctx, spare) // the attempts before it go on alone
+	}
+}
+
 func (r *race) note(s step) {
 	if r.job.steps != nil {
 		*r.job.steps = append(*r.job.steps, s.String())
@@ -207,7 +215,7 @@
 	a.Usual, a.Forced = usual, choice.Forced
 	s := step{to: choice.ID, at: now.Sub(r.job.start), choice: choice}
 	go func() {
-		ans, err := r.n.send(actx, r.lane, r.class, choice, a)
+		ans, err := r.n.send(actx, r.lane, r.class, choice, a, func() { r.lost <- struct{}{} })
 		s.took, s.result = time.Since(now), resultOf(ans, err)
 		r.results <- try{choice: choice, ans: ans, err: err, cancel: cancel, step: s}
 	}()
@@ -374,10 +382,10 @@
 	return e
 }
 
-// send carries one attempt to its upstream and tells the lane what it showed.
-func (n *Node) send(ctx context.Context, l *lane, class int, c routing.Choice, a *upstream.Attempt) (*upstream.Answer, error) {
+// send carries one attempt to its upstream and tells the lane what it showed; lost is called where the upstream's node does not answer meanwhile.
+func (n *Node) send(ctx context.Context, l *lane, class int, c routing.Choice, a *upstream.Attempt, lost func()) (*upstream.Answer, error) {
 	start := time.Now()
-	stop := n.watch(l, class, c, a.Class)
+	stop := n.watch(l, class, c, a.Class, lost)
 	ans, err := n.carry(ctx, c, a)
 	stop()
 	took := time.Since(start)
@@ -454,14 +462,18 @@
 }
 
 // watch asks the node of an upstream for its state when an attempt stays silent, which tells a stuck upstream from a lost path.
-func (n *Node) watch(l *lane, class int, c routing.Choice, name string) (stop func()) {
+func (n *Node) watch(l *lane, class int, c routing.Choice, name string, lost func()) (stop func()) {
 	if c.Node == n.cfg.Name {
 		return func() {}
 	}
 	l.mu.Lock()
 	after := max(askAfter, askRatio*l.group.Mean(time.Now(), class))
 	l.mu.Unlock()
-	t := time.AfterFunc(after, func() { _ = n.ask(l, class, c, name) })
+	t := time.AfterFunc(after, func() {
+		if n.ask(l, class, c, name) != nil {
+			lost()
+		}
+	})
 	return func() { t.Stop() }
 }
 
--- a/node/store_test.go
+++ b/node/store_test.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,14 +33,17 @@
 }
 
 // start runs a node until the test ends.
-func (r *storeRig) start(name string) *node.Node {
+func (r *storeRig) start(name string) *node.Node { return r.startWith(name, node.Options{}) }
+
+func (r *storeRig) startWith(name string, opt node.Options) *node.Node {
 	cfg := node.DefaultSettings()
 	cfg.Name, cfg.Region, cfg.DataCentre, cfg.Service = name, "r", "dc", "s1"
 	cfg.Listen.Caller, cfg.Listen.Peer, cfg.Listen.Upstream, cfg.Listen.Admin = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	cfg.Platform.Contract, cfg.Platform.Log = "store", r.web.URL
 	cfg.Limits.Keys, cfg.Retry.Reserve = 0, 20
 	cfg.Limits.Lame = 0
-	n, err := node.New(cfg, node.Options{Logger: log.NewNopLogger()})
+	opt.Logger = log.NewNopLogger()
+	n, err := node.New(cfg, opt)
 	if err != nil {
 		r.t.Fatal(err)
 	}
@@ -261,3 +267,63 @@
 	r.store.refuse(false)
 	await(c, 1500*time.Millisecond)
 }
+
+// deafDialer connects nodes; once deaf is set, nothing that comes from the address is heard.
+type deafDialer struct {
+	address string
+	deaf    atomic.Bool
+}
+
+func (d *deafDialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil || address != d.address {
+		return c, err
+	}
+	return &deafConn{Conn: c, d: d, closed: make(chan struct{})}, nil
+}
+
+type deafConn struct {
+	net.Conn
+	d      *deafDialer
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (c *deafConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.d.deaf.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *deafConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestStoreContractRepeatsWhereAnswersAreLost cuts the answers of a node while it has the only upstream: work that may be repeated goes to one that joins before its time is over.
+func TestStoreContractRepeatsWhereAnswersAreLost(t *testing.T) {
+	is := is.New(t)
+	r := newStoreRig(t)
+	r.configure(1, "3s")
+	a, c := r.start("a"), r.start("c")
+	fine := func(w http.ResponseWriter, _ *http.Request) { sealed(w, "x") }
+	r.server(a, "i-a", 1, fine)
+	d := &deafDialer{address: a.Addresses().Peer}
+	b := r.startWith("b", node.Options{Dial: d.dial})
+	r.untilServed(b)
+	for i := range 100 { // the budget allows repeats of a part of them
+		_, _, _ = r.ask(b, "GET", "/s/x", fmt.Sprintf("before-%d", i))
+	}
+	d.deaf.Store(true)
+	status := make(chan int)
+	go func() {
+		s, _, _ := r.ask(b, "GET", "/s/x", "deaf")
+		status <- s
+	}()
+	time.Sleep(200 * time.Millisecond)
+	r.server(c, "i-c", 1, fine)
+	is.Equal(<-status, http.StatusOK)
+}
