Soak: nothing is done for callers who have left

Cause: no check of the soak saw whether work goes on for callers that closed their connection. Change: one caller in 20 leaves within 60 ms; what servers start or still run 0.5 s later is bounded as in the users' rules.

--- a/jasminelab/load/load.go
+++ b/jasminelab/load/load.go
@@ -23,7 +23,8 @@
 	maxInFlight = 8000
 	repeatPause = 50 * time.Millisecond
 	bodyBytes   = 200
-	slack       = 2 * time.Second // time beyond the class's timeout for which a caller waits
+	maxStay     = 60 * time.Millisecond // within which callers that leave early do so
+	slack       = 2 * time.Second       // time beyond the class's timeout for which a caller waits
 )
 
 // Stream is one class of work sent at a rate.
@@ -37,6 +38,7 @@
 	Repeats int     // repeats after an unknown outcome, through other nodes
 	Direct  string  // address of a server to be called without the fleet
 	Paced   bool    // at even intervals instead of random ones
+	Leaving float64 // share of the requests whose callers leave early
 }
 
 // Record is one request as its caller saw it.
@@ -58,6 +60,7 @@
 	Origin   string        // service on whose instance that node runs
 	Seal     bool          // the answer bears the proof of its body
 	Held     time.Duration // for which the last request was open
+	Left     time.Time     // when the caller left early; zero if it stayed
 	platform bool          // the request was sent in the platform's contract
 	open     bool          // an earlier request of the work may still run
 }
@@ -198,8 +201,20 @@
 }
 
 func (g *Generator) call(addr string, s *Stream, rec *Record, rnd *rand.Rand) error {
-	ctx, cancel := context.WithTimeout(context.Background(), s.Class.Timeout+slack)
+	stay := s.Class.Timeout + slack
+	leaves := s.Leaving > 0 && rnd.Float64() < s.Leaving
+	if leaves {
+		stay = time.Duration(rnd.Int64N(int64(maxStay)))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
+	if leaves {
+		defer func() {
+			if ctx.Err() != nil {
+				rec.Left = time.Now()
+			}
+		}()
+	}
 	var body io.Reader
 	if s.Class.Method == http.MethodPost {
 		body = struct{ io.Reader }{strings.NewReader(strings.Repeat("b", bodyBytes))}
--- a/jasminelab/soak/soak.go
+++ b/jasminelab/soak/soak.go
@@ -20,6 +20,10 @@
 	recoverBound = 5 * time.Second // after the last fault, from which callers are served again
 	recoverWatch = 3 * time.Second
 	recoverShare = 0.9
+	leavingShare = 0.05                   // of the callers, who leave early
+	goneBound    = 500 * time.Millisecond // after which nothing is done for a caller that has left
+	goneFew      = 5                      // requests that may reach a server later
+	goneShare    = 0.25                   // of those that run when their callers leave, which may go on
 	stallEvery   = 20 * time.Millisecond
 	stallLimit   = 300 * time.Millisecond // delay of the soak itself from which times are not judged
 	quietStart   = 2 * time.Second
@@ -48,6 +52,7 @@
 	Steps    int
 	Requests int
 	Served   int           // of them, with a whole answer
+	Left     int           // requests that may be repeated and whose callers left early
 	Asked    int           // questions after the version in force
 	Share    float64       // of requests that were served once the faults were over
 	Stall    time.Duration // longest delay of the soak itself
@@ -95,7 +100,7 @@
 	defer stop()
 	for _, v := range shape.Services {
 		for _, c := range v.Classes {
-			r.load.Start(lctx, &load.Stream{Service: v, Class: c, Rate: shape.Capacity(v) * loadPart * c.Weight})
+			r.load.Start(lctx, &load.Stream{Service: v, Class: c, Rate: shape.Capacity(v) * loadPart * c.Weight, Leaving: leavingShare})
 		}
 	}
 	var wg sync.WaitGroup
@@ -117,6 +122,7 @@
 	r.check()
 	r.recovery(healed.Add(recoverBound))
 	r.drains()
+	r.gone()
 	r.rep.Asked = m.asked
 }
 
@@ -184,7 +190,7 @@
 		if rec.Whole {
 			r.rep.Served++
 		}
-		if rec.At.Before(from) {
+		if rec.At.Before(from) || !rec.Left.IsZero() {
 			continue
 		}
 		sent++
@@ -215,3 +221,33 @@
 		}
 	}
 }
+
+// gone holds what servers did for callers that had left against the bounds.
+func (r *run) gone() {
+	left := make(map[string]time.Time)
+	for _, rec := range r.load.Records() {
+		if !rec.Left.IsZero() && rec.Stream.Class.Idempotent {
+			left[rec.Tag] = rec.Left
+		}
+	}
+	late, running, on := 0, 0, 0
+	for _, u := range r.fleet.Upstreams("") {
+		for _, w := range u.Runs() {
+			at, ok := left[w.Tag]
+			switch {
+			case !ok:
+			case w.At.Sub(at) > goneBound:
+				late++
+			case w.End.IsZero() || w.End.After(at):
+				running++
+				if w.End.IsZero() || w.End.Sub(at) > goneBound {
+					on++
+				}
+			}
+		}
+	}
+	r.rep.Left = len(left)
+	if late > goneFew || on > goneFew && float64(on) > goneShare*float64(running) {
+		r.breach("gone", fmt.Sprintf("of %d callers that left %d requests started and %d of %d went on %v later", len(left), late, on, running, goneBound))
+	}
+}
--- a/jasminelab/upstand/serve.go
+++ b/jasminelab/upstand/serve.go
@@ -179,6 +179,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.running, i)
+		s.runs[i].End = time.Now()
 	}
 }
 
--- a/jasminelab/upstand/server.go
+++ b/jasminelab/upstand/server.go
@@ -199,8 +199,9 @@
 	At     time.Time
 	Tag    string
 	Path   string
-	Origin string // service that the node named as the origin
-	Broken bool   // the server broke its answer off, or crashed at it
+	Origin string    // service that the node named as the origin
+	Broken bool      // the server broke its answer off, or crashed at it
+	End    time.Time // zero while it runs
 }
 
 // Ran returns how often each piece of work was run.
