--- a/jasminelab/experiment/experiment.go
+++ b/jasminelab/experiment/experiment.go
@@ -197,9 +197,4 @@
 	return 3
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
+func sleep(ctx context.Context, d time.Duration) { load.Sleep(ctx, d) }
--- a/jasminelab/fleet/fleet.go
+++ b/jasminelab/fleet/fleet.go
@@ -138,7 +138,7 @@
 		}
 	}
 	for i := range opt.Nodes {
-		if _, err := f.AddNode(f.Shape.Sites[i%len(f.Shape.Sites)]); err != nil {
+		if _, err := f.addNode(f.Shape.Sites[i%len(f.Shape.Sites)], f.Shape.Services[0].Name); err != nil {
 			return err
 		}
 	}
@@ -166,9 +166,7 @@
 	return u, nil
 }
 
-// AddNode starts one more node at the site, beside an instance of the first service.
-func (f *Fleet) AddNode(site Site) (*Node, error) { return f.addNode(site, f.Shape.Services[0].Name) }
-
+// addNode starts one more node at the site, beside an instance of the service.
 func (f *Fleet) addNode(site Site, service string) (*Node, error) {
 	f.mu.Lock()
 	f.next++
@@ -320,19 +318,13 @@
 // Admin returns a client of the node's administration API.
 func (n *Node) Admin() *operator.Client { return operator.NewClient(n.Addr.Admin, "") }
 
-// Replace starts a node at the same site that takes over the server beside the former one.
+// Replace starts a node under another name at the same site that takes over the server beside the former one.
 func (f *Fleet) Replace(old *Node) (*Node, error) {
-	n, err := f.AddNode(old.Site)
+	n, err := f.addNode(old.Site, old.Service)
 	if err != nil {
 		return nil, err
 	}
-	if u := f.Beside(old); u != nil {
-		f.mu.Lock()
-		f.beside[n.Name] = u.ID()
-		delete(f.beside, old.Name)
-		f.mu.Unlock()
-		u.Move(n.Addr.Upstream)
-	}
+	f.hand(old, n)
 	return n, nil
 }
 
@@ -342,12 +334,23 @@
 	if err != nil {
 		return nil, err
 	}
-	if u := f.Beside(old); u != nil {
-		u.Move(n.Addr.Upstream)
-	}
+	f.hand(old, n)
 	return n, nil
 }
 
+// hand makes the server beside one node announce itself to another.
+func (f *Fleet) hand(old, n *Node) {
+	u := f.Beside(old)
+	if u == nil {
+		return
+	}
+	f.mu.Lock()
+	delete(f.beside, old.Name)
+	f.beside[n.Name] = u.ID()
+	f.mu.Unlock()
+	u.Move(n.Addr.Upstream)
+}
+
 // Renew starts another server of the same service beside the node, as after a deployment; the former one goes on.
 func (f *Fleet) Renew(n *Node, id string, born uint64) (*upstand.Server, error) {
 	old := f.Beside(n)
--- a/jasminelab/fleet/shape.go
+++ b/jasminelab/fleet/shape.go
@@ -122,3 +122,12 @@
 func (s Shape) Capacity(v Service) float64 {
 	return float64(v.Servers*s.Slots) / v.Mean.Seconds()
 }
+
+// Servers returns the number of servers of all services.
+func (s Shape) Servers() int {
+	n := 0
+	for _, v := range s.Services {
+		n += v.Servers
+	}
+	return n
+}
--- a/jasminelab/load/load.go
+++ b/jasminelab/load/load.go
@@ -306,3 +306,11 @@
 	r.Whole = tag == r.Tag && n == len(body)
 	r.Crossed = tag != r.Tag
 }
+
+// Sleep waits for a while, or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/jasminelab/soak/act.go
+++ b/jasminelab/soak/act.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/jasminelab/fleet"
+	"github.com/jasminevane/jasminevane/jasminelab/load"
 	"github.com/jasminevane/jasminevane/jasminelab/logstand"
 	"github.com/jasminevane/jasminevane/jasminelab/upstand"
 	"github.com/jasminevane/jasminevane/upstream"
@@ -192,7 +193,7 @@
 	sleep(ctx, s.For)
 }
 
-// storeFault changes the store's faults for a while; the last one to begin is the one that holds.
+// storeFault changes the store's faults for a while; of faults that overlap, the first to end ends all.
 func (a *actor) storeFault(ctx context.Context, s Step) {
 	defer a.touch.disturb(storeName)()
 	a.setStore(func(f *logstand.Faults) {
@@ -217,7 +218,7 @@
 }
 
 func (a *actor) storeCut(ctx context.Context, s Step) {
-	name := a.names[s.A%len(a.names)]
+	name := a.names[s.A]
 	defer a.touch.disturb(name)()
 	l := a.fleet.Link
 	l.Cut(name, storeName, true)
@@ -312,11 +313,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) { sleepUntil(ctx, time.Now().Add(d)) }
+func sleep(ctx context.Context, d time.Duration) { load.Sleep(ctx, d) }
 
-func sleepUntil(ctx context.Context, t time.Time) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Until(t)):
-	}
-}
+func sleepUntil(ctx context.Context, t time.Time) { load.Sleep(ctx, time.Until(t)) }
--- a/jasminelab/soak/marks.go
+++ b/jasminelab/soak/marks.go
@@ -26,11 +26,10 @@
 	breach func(promise, text string)
 	http   *http.Client
 
-	mu       sync.Mutex
-	acked    []time.Time // by version, from 1
-	seen     map[string]sighting
-	asked    int
-	answered int
+	mu    sync.Mutex
+	acked []time.Time // by version, from 1
+	seen  map[string]sighting
+	asked int
 }
 
 // sighting is the highest version whose effect a process has shown, and when.
@@ -100,7 +99,6 @@
 	id := fmt.Sprintf("%s@%d", n.Name, n.Started.UnixNano())
 	last := m.seen[id]
 	if status == http.StatusOK {
-		m.answered++
 		if version > last.version {
 			m.seen[id] = sighting{version, time.Now()}
 		}
--- a/jasminelab/soak/soak.go
+++ b/jasminelab/soak/soak.go
@@ -27,7 +27,6 @@
 	stallEvery   = 20 * time.Millisecond
 	stallLimit   = 300 * time.Millisecond // delay of the soak itself from which times are not judged
 	quietStart   = 2 * time.Second
-	rateScale    = 8 // nodes up to which the load grows
 )
 
 // Config describes one run.
@@ -74,7 +73,7 @@
 // Run plays one seed; the error tells what kept it from being played, not the promises that were broken.
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	shape := fleet.Carritos(3)
-	opt := fleet.Options{Seed: cfg.Seed, Contract: upstand.Platform, Logs: cfg.Logs, Nodes: max(0, cfg.Nodes-rateScale)}
+	opt := fleet.Options{Seed: cfg.Seed, Contract: upstand.Platform, Logs: cfg.Logs, Nodes: max(0, cfg.Nodes-shape.Servers())}
 	f, err := fleet.Up(ctx, shape, opt)
 	if f != nil {
 		defer f.Close()
--- a/jasminelab/upstand/server.go
+++ b/jasminelab/upstand/server.go
@@ -204,15 +204,6 @@
 	End    time.Time // zero while it runs
 }
 
-// Ran returns how often each piece of work was run.
-func (s *Server) Ran() map[string]int {
-	out := make(map[string]int)
-	for _, w := range s.Runs() {
-		out[w.Tag]++
-	}
-	return out
-}
-
 // Runs returns all the work that was started, in order.
 func (s *Server) Runs() []Run {
 	s.mu.Lock()
--- a/node/trace.go
+++ b/node/trace.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -60,15 +61,16 @@
 		"left", time.Until(a.Deadline).Milliseconds(), "forced", a.Forced, "err", err)
 }
 
+// resultOf returns the result of an attempt in full: the status, or the error.
 func resultOf(ans *upstream.Answer, err error) string {
-	var e *outcome.Error
+	label := resultLabel(ans, err)
 	switch {
-	case errors.As(err, &e):
-		return string(e.Outcome) + "/" + string(e.Code)
-	case err != nil:
+	case err == nil:
+		return strconv.Itoa(ans.Status)
+	case label == string(outcome.CodePath):
 		return "path: " + err.Error()
 	}
-	return fmt.Sprint(ans.Status)
+	return label
 }
 
 // Ended implements caller.Fleet.
