membership: two groups that formed apart meet at the seeds that they don't know

From then on a node contacts a seed with a chance of 0.05 a second, and half of these contacts go to the seed of its own group, so in some histories none crosses within 20 s. Change: seeds at whose address a live node is known aren't contacted; the others are, with a chance of 0.25 a second for each node.

--- a/membership/engine.go
+++ b/membership/engine.go
@@ -21,7 +21,7 @@
 	gossipChance         = 0.25                    // probability, per heartbeat interval, of a heartbeat to a random live node
 	deadContactChance    = 0.2                     // probability, per heartbeat interval, of a heartbeat to a node recorded as dead
 	minKnownSeedRatio    = 0.75                    // a node keeps contacting seeds while the ratio of known live nodes to seeds is lower
-	seedChance           = 0.05                    // probability, per heartbeat interval, of a heartbeat to a seed
+	seedChance           = 0.25                    // probability, per heartbeat interval, of a heartbeat to a seed at which no live node is known
 	maxRecordsPerMessage = 64                      // maximum number of pending records in one message; full comparisons of views have no limit
 	relaysPerDataCentre  = 2                       // number of nodes in a data centre that have neighbours in other data centres
 	probeValidity        = 3 * time.Second         // time for which a successful indirect probe prevents a node from being declared dead
@@ -100,9 +100,6 @@
 	return e
 }
 
-// SetSeeds replaces the addresses of the seeds, through which the node joins the fleet.
-func (e *Engine) SetSeeds(seeds []string) { e.seeds = seeds }
-
 // toggleSum adds a live record to the sum of its bucket, or removes it if the sum includes it. The sum is an XOR of hashes.
 func (e *Engine) toggleSum(m *memberState) {
 	if m.live() {
@@ -326,20 +323,6 @@
 	return float64(live) < minKnownSeedRatio*float64(len(e.seeds))
 }
 
-func (e *Engine) contactSeed(now time.Time) {
-	if now.Before(e.nextJoin) || len(e.seeds) == 0 {
-		return
-	}
-	e.nextJoin = now.Add(joinInterval)
-	seed := e.seeds[e.rnd.IntN(len(e.seeds))]
-	if seed == e.self.Address {
-		return
-	}
-	msg := e.newMessage()
-	msg.Members = []Member{e.self.Member}
-	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Address: seed, Message: msg})
-}
-
 // Flush sends pending records without waiting for the next heartbeat, except to other regions if they are not urgent.
 func (e *Engine) Flush(now time.Time) {
 	for _, m := range e.neighbours {
--- a/membership/region_test.go
+++ b/membership/region_test.go
@@ -1,7 +1,11 @@
 package membership_test
 
 import (
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -95,3 +99,33 @@
 		is.Equal(len(engines[a].Members()), nodes)
 	}
 }
+
+// TestGroupsMergeThroughAnUnknownSeed checks that two groups which have formed apart, each around one of two seeds, find each other
+// soon: a node keeps contacting the seeds at whose address it knows no live node.
+func TestGroupsMergeThroughAnUnknownSeed(t *testing.T) {
+	for seed := range uint64(50) {
+		is := is.New(t)
+		net := newSimNetwork(seed, 0, 1)
+		for i := range 12 {
+			net.add(fmt.Sprintf("n%02d", i), i%2, 1)
+		}
+		for _, a := range slices.Sorted(maps.Keys(net.nodes)) {
+			for _, b := range slices.Sorted(maps.Keys(net.nodes)) {
+				net.cutLinks[[2]string{a, b}] = nodeNumber(a)%2 != nodeNumber(b)%2
+			}
+		}
+		net.run(10 * time.Second)
+		clear(net.cutLinks)
+		net.run(5 * time.Second)
+		is.NoErr(net.checkConverged())
+	}
+}
+
+// nodeNumber returns the number in the name of a node of a simulated network.
+func nodeNumber(name string) int {
+	n, err := strconv.Atoi(name[1:])
+	if err != nil {
+		panic(err)
+	}
+	return n
+}
