Members and balancers change by single records; health goes only to the nodes that route there

Change: (1) HealthSeq versions the health apart from the record; it isn't part of the digest, and its writer tells the nodes of its region, in fleets over 100 nodes those of its data centre; the others learn it from answers and refusals of the gate. (2) An index keeps members sorted, rings by data centre and the live count; pending records to one node are sent together after a time that grows with the fleet. (3) A node whose digest differs compares again after 0.3 s. (4) fleetView and Balancer.Apply take single changes; ownership is fed only where it has work; joins are logged by number where many come together.

--- a/membership/engine.go
+++ b/membership/engine.go
@@ -13,16 +13,20 @@
 	crossRegionChance    = 0.1                     // probability that a random heartbeat may go to another region
 	joinInterval         = 300 * time.Millisecond  // minimum interval between heartbeats to seeds
 	syncInterval         = 500 * time.Millisecond  // minimum interval between full comparisons of views
-	settleTime           = 800 * time.Millisecond  // time after a change of the view during which differing digests start no full comparison
+	settleTime           = 300 * time.Millisecond  // time after a change of the view during which differing digests start no full comparison
 	indirectProbeCount   = 2                       // number of nodes that are asked to probe a node after a failed heartbeat to it
 	probeTimeout         = 700 * time.Millisecond  // timeout of indirect probes
 	minFailedHeartbeats  = 2                       // minimum number of consecutive failed heartbeats before a node is declared dead
 	deadRecordRetention  = 10 * time.Minute        // time for which the record of a dead or departed node is kept
+	expiryInterval       = time.Second             // interval between searches for records to remove
 	gossipChance         = 0.25                    // probability, per heartbeat interval, of a heartbeat to a random live node
 	deadContactChance    = 0.2                     // probability, per heartbeat interval, of a heartbeat to a node recorded as dead
 	minKnownSeedRatio    = 0.75                    // a node keeps contacting seeds while the ratio of known live nodes to seeds is lower
 	seedChance           = 0.25                    // probability, per heartbeat interval, of a heartbeat to a seed at which no live node is known
 	maxRecordsPerMessage = 64                      // maximum number of pending records in one message; full comparisons of views have no limit
+	batchTimePerNode     = 250 * time.Microsecond  // minimum time between pending records to one node, per node of the fleet
+	maxBatchTime         = 200 * time.Millisecond  // maximum of the minimum time between pending records to one node
+	maxWideHealthNodes   = 100                     // in a larger fleet, the health of an upstream is told within its data centre only, since few other nodes route to it
 	relaysPerDataCentre  = 2                       // number of nodes in a data centre that have neighbours in other data centres
 	probeValidity        = 3 * time.Second         // time for which a successful indirect probe prevents a node from being declared dead
 )
@@ -59,32 +63,40 @@
 	Heartbeats []OutgoingHeartbeat
 	Probes     []IndirectProbe
 	Changes    []MemberChange
+	Removed    []string // names of the nodes whose records were removed, long after they died or left
 }
 
 type memberState struct {
 	Member
+	own              bool      // the record of this node
+	position         uint64    // hash of the name, the node's position in the ring of its data centre
+	sentAt           time.Time // time of the last heartbeat to the node
 	changedAt        time.Time // time when this node last changed the record
 	failedHeartbeats int
 	nextHeartbeat    time.Time // due time of the next heartbeat to the node
 	probeDeadline    time.Time // deadline of the pending indirect probes; zero if there are none
 	reachableUntil   time.Time // until this time the node is not declared dead, because an indirect probe reached it
 	pendingRecords   []string  // names of the nodes whose records are to be sent to this node
-	pendingUrgent    bool      // the pending records are sent at once, even to another region
 }
 
+// inRing reports whether the node is in the ring of its data centre; this node always is.
+func (m *memberState) inRing() bool { return m.live() || m.own }
+
 // Engine is the membership state machine of one node. It does no I/O: the embedding node passes messages and the time to it.
 type Engine struct {
 	self            *memberState
 	seeds           []string
 	rnd             *rand.Rand
-	members         map[string]*memberState
+	index           index
 	bucketSums      [bucketCount]uint64
 	lastChange      time.Time
 	lastSync        time.Time
 	nextJoin        time.Time
 	nextGossip      time.Time
+	nextExpiry      time.Time
 	neighbours      []*memberState // nodes to which this node sends regular heartbeats and new records
 	neighboursStale bool           // neighbours must be chosen again before they are used
+	waiting         []*memberState // nodes to which records are pending
 	output          Output
 }
 
@@ -92,9 +104,9 @@
 func New(now time.Time, self Member, seeds []string, rnd *rand.Rand) *Engine {
 	self.Status = Alive
 	self.Seq = max(1, self.Seq)
-	e := &Engine{seeds: seeds, rnd: rnd, members: make(map[string]*memberState), lastChange: now}
-	e.self = &memberState{Member: self, changedAt: now}
-	e.members[self.Name] = e.self
+	e := &Engine{seeds: seeds, rnd: rnd, index: newIndex(), lastChange: now}
+	e.self = &memberState{Member: self, own: true, changedAt: now}
+	e.index.add(e.self)
 	e.toggleSum(e.self)
 	e.neighboursStale = true
 	return e
@@ -103,7 +115,7 @@
 // toggleSum adds a live record to the sum of its bucket, or removes it if the sum includes it. The sum is an XOR of hashes.
 func (e *Engine) toggleSum(m *memberState) {
 	if m.live() {
-		e.bucketSums[bucketOf(m.Name)] ^= m.hash()
+		e.bucketSums[bucketOf(m.position)] ^= m.hash()
 	}
 }
 
@@ -123,23 +135,25 @@
 
 // Members returns all records sorted by name.
 func (e *Engine) Members() []Member {
-	records := make([]Member, 0, len(e.members))
-	for _, m := range e.members {
-		records = append(records, m.Member)
+	records := make([]Member, len(e.index.sorted))
+	for i, m := range e.index.sorted {
+		records[i] = m.Member
 	}
-	slices.SortFunc(records, func(a, b Member) int { return compareNames(a.Name, b.Name) })
 	return records
 }
 
 // Member returns the record of the named node.
 func (e *Engine) Member(name string) (Member, bool) {
-	m, ok := e.members[name]
+	m, ok := e.index.byName[name]
 	if !ok {
 		return Member{}, false
 	}
 	return m.Member, true
 }
 
+// LiveCount returns the number of live nodes.
+func (e *Engine) LiveCount() int { return e.index.live }
+
 // TakeOutput returns the pending output and clears it.
 func (e *Engine) TakeOutput() Output {
 	output := e.output
@@ -151,7 +165,14 @@
 func (e *Engine) SetUpstreams(now time.Time, upstreams []Upstream) {
 	next := e.self.Member
 	next.Upstreams = slices.Clone(upstreams)
-	next.Seq++
+	switch {
+	case slices.Equal(next.Upstreams, e.self.Upstreams):
+		return
+	case next.sameButHealth(&e.self.Member):
+		next.HealthSeq++
+	default:
+		next.Seq, next.HealthSeq = next.Seq+1, 0
+	}
 	e.storeRecord(now, next, "")
 }
 
@@ -163,54 +184,73 @@
 	e.storeRecord(now, next, "")
 }
 
-// storeRecord stores a record that is new or newer than the stored one. It queues the record for all neighbours except from.
+// storeRecord stores a record that is new or newer than the stored one. It queues the record for all neighbours except from. A record
+// in which only the health of upstreams changed is queued by the node that writes it, for those that it concerns.
 func (e *Engine) storeRecord(now time.Time, m Member, from string) {
-	state := e.members[m.Name]
+	state := e.index.byName[m.Name]
 	var previous Member
+	healthOnly := false
 	if state == nil {
-		state = &memberState{nextHeartbeat: now}
-		e.members[m.Name] = state
+		state = &memberState{Member: m, nextHeartbeat: now}
+		e.index.add(state)
 		e.neighboursStale = true
 	} else {
 		previous = state.Member
+		healthOnly = m.sameButHealth(&previous)
 		e.toggleSum(state)
-		e.neighboursStale = e.neighboursStale || state.live() != m.live() || state.Address != m.Address
+		e.neighboursStale = e.neighboursStale || state.live() != m.live() || state.Address != m.Address || state.DataCentre != m.DataCentre
 		if m.Incarnation != state.Incarnation || m.Address != state.Address {
 			state.failedHeartbeats, state.probeDeadline = 0, time.Time{}
 		}
+		e.index.replace(state, m)
 	}
-	state.Member, state.changedAt = m, now
 	e.toggleSum(state)
-	e.lastChange = now
 	e.output.Changes = append(e.output.Changes, MemberChange{Old: previous, New: m})
-	e.enqueue(m.Name, from, differsBeyondSuspect(&previous, &m))
+	switch {
+	case !healthOnly:
+		state.changedAt, e.lastChange = now, now
+		e.chooseNeighbours()
+		e.enqueue(m.Name, from, e.neighbours)
+	case state == e.self:
+		e.enqueue(m.Name, "", e.healthAudience())
+	}
 }
 
-// differsBeyondSuspect reports whether two records differ in anything other than the Suspect flags of upstreams.
-func differsBeyondSuspect(before, m *Member) bool {
-	if before.Status != m.Status || before.Incarnation != m.Incarnation || before.Address != m.Address || len(before.Upstreams) != len(m.Upstreams) {
-		return true
+// healthAudience returns the nodes that are told of a change of the health of this node's upstreams. The others learn it from the
+// responses of this node.
+func (e *Engine) healthAudience() []*memberState {
+	if e.index.live > maxWideHealthNodes {
+		return e.index.ring(e.self.DataCentre).nodes
 	}
-	for i, u := range m.Upstreams {
-		old := before.Upstreams[i]
-		if old.Suspect = u.Suspect; old != u {
-			return true
+	var audience []*memberState
+	for _, m := range e.index.sorted {
+		if m.live() && !e.inOtherRegion(m) {
+			audience = append(audience, m)
 		}
 	}
-	return false
+	return audience
 }
 
-// enqueue queues the record of the named node for all neighbours except from, the node that sent it.
-func (e *Engine) enqueue(name, from string, urgent bool) {
-	e.chooseNeighbours()
-	for _, n := range e.neighbours {
-		n.pendingUrgent = n.pendingUrgent || urgent && n.Name != from && n.Name != name
-		if n.Name != from && n.Name != name && !slices.Contains(n.pendingRecords, name) {
-			n.pendingRecords = append(n.pendingRecords, name)
+// enqueue queues the record of the named node for the given nodes except from, the node that sent it.
+func (e *Engine) enqueue(name, from string, to []*memberState) {
+	for _, m := range to {
+		if m != e.self && m.Name != from && m.Name != name {
+			e.addPending(m, name)
 		}
 	}
 }
 
+// addPending adds the name of a node to those whose records are to be sent to m.
+func (e *Engine) addPending(m *memberState, name string) {
+	if slices.Contains(m.pendingRecords, name) {
+		return
+	}
+	if len(m.pendingRecords) == 0 {
+		e.waiting = append(e.waiting, m)
+	}
+	m.pendingRecords = append(m.pendingRecords, name)
+}
+
 // merge stores the records from another node that are newer than the stored ones. It ignores unknown nodes that are not live.
 func (e *Engine) merge(now time.Time, records []Member, from string) {
 	for _, m := range records {
@@ -218,7 +258,7 @@
 			e.refute(now, m)
 			continue
 		}
-		if old := e.members[m.Name]; old != nil && !m.Newer(&old.Member) {
+		if old := e.index.byName[m.Name]; old != nil && !m.Newer(&old.Member) {
 			continue
 		} else if old == nil && !m.live() {
 			continue
@@ -236,7 +276,7 @@
 	if m.Incarnation > next.Incarnation {
 		next.Incarnation = m.Incarnation + 1
 	}
-	next.Seq = max(next.Seq, m.Seq) + 1
+	next.Seq, next.HealthSeq = max(next.Seq, m.Seq)+1, 0
 	e.storeRecord(now, next, "")
 }
 
@@ -245,13 +285,16 @@
 	e.chooseNeighbours()
 	e.declareUnreachable(now)
 	e.removeExpired(now)
-	if e.knowsNoLiveNode() {
-		e.contactSeed(now)
-		return
+	others := e.index.live
+	if e.self.live() {
+		others--
 	}
-	if e.knowsTooFew() {
+	if float64(others) < minKnownSeedRatio*float64(len(e.seeds)) || others == 0 {
 		e.contactSeed(now)
 	}
+	if others == 0 {
+		return
+	}
 	e.Flush(now)
 	for _, m := range e.neighbours {
 		if !now.Before(m.nextHeartbeat) {
@@ -282,7 +325,7 @@
 // sendRandom sends a heartbeat to a random node for which match returns true and which is not a neighbour.
 func (e *Engine) sendRandom(now time.Time, match func(*memberState) bool) {
 	var candidates []*memberState
-	for _, m := range e.sortedMembers() {
+	for _, m := range e.index.sorted {
 		if m != e.self && match(m) && !slices.Contains(e.neighbours, m) {
 			candidates = append(candidates, m)
 		}
@@ -292,48 +335,28 @@
 	}
 }
 
-// sortedMembers returns the states of all members sorted by name.
-func (e *Engine) sortedMembers() []*memberState {
-	states := make([]*memberState, 0, len(e.members))
-	for _, m := range e.members {
-		states = append(states, m)
-	}
-	slices.SortFunc(states, func(a, b *memberState) int { return compareNames(a.Name, b.Name) })
-	return states
-}
-
-func (e *Engine) knowsNoLiveNode() bool {
-	for _, m := range e.members {
-		if m != e.self && m.live() {
-			return false
+// Flush sends pending records without waiting for the next heartbeat. The first change is sent at once; those that follow it closely
+// are sent together, after a time that grows with the fleet, so that a start of all nodes costs each of them a bounded number of messages.
+func (e *Engine) Flush(now time.Time) {
+	batchTime := min(maxBatchTime, time.Duration(e.index.live)*batchTimePerNode)
+	waiting := e.waiting
+	e.waiting = nil
+	for _, m := range waiting {
+		if !m.live() {
+			m.pendingRecords = nil
 		}
-	}
-	return true
-}
-
-// knowsTooFew reports whether the node knows far fewer live nodes than there are seeds.
-// This happens when all nodes start at once and form separate groups.
-func (e *Engine) knowsTooFew() bool {
-	live := 0
-	for _, m := range e.members {
-		if m != e.self && m.live() {
-			live++
+		if len(m.pendingRecords) == 0 {
+			continue
 		}
-	}
-	return float64(live) < minKnownSeedRatio*float64(len(e.seeds))
-}
-
-// Flush sends pending records without waiting for the next heartbeat, except to other regions if they are not urgent.
-func (e *Engine) Flush(now time.Time) {
-	for _, m := range e.neighbours {
-		if len(m.pendingRecords) > 0 && m.failedHeartbeats == 0 && (m.pendingUrgent || !e.inOtherRegion(m)) {
+		if m.failedHeartbeats == 0 && now.Sub(m.sentAt) >= batchTime {
 			e.send(now, m)
 		}
+		if len(m.pendingRecords) > 0 {
+			e.waiting = append(e.waiting, m)
+		}
 	}
 }
 
-// inOtherRegion reports whether m is in another region than this node. Changes of Suspect flags are frequent, so they are
-// sent to such a node only with the next heartbeat, several at a time.
 func (e *Engine) inOtherRegion(m *memberState) bool { return m.Region != e.self.Region }
 
 // Heartbeat returns a heartbeat without member records, which the embedding node can send along with other data.
@@ -350,7 +373,7 @@
 		interval = crossRegionInterval
 	}
 	jitter := time.Duration(e.rnd.Int64N(int64(interval) / 5))
-	m.nextHeartbeat = now.Add(interval - interval/10 + jitter)
+	m.nextHeartbeat, m.sentAt = now.Add(interval-interval/10+jitter), now
 	msg := e.newMessage()
 	msg.Members = e.takePendingRecords(m)
 	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Name: m.Name, Address: m.Address, Message: msg})
@@ -360,12 +383,11 @@
 	n := min(maxRecordsPerMessage, len(m.pendingRecords))
 	var records []Member
 	for _, name := range m.pendingRecords[:n] {
-		if r := e.members[name]; r != nil {
+		if r := e.index.byName[name]; r != nil {
 			records = append(records, r.Member)
 		}
 	}
 	m.pendingRecords = slices.Clone(m.pendingRecords[n:])
-	m.pendingUrgent = m.pendingUrgent && len(m.pendingRecords) > 0
 	return records
 }
 
@@ -373,14 +395,14 @@
 func (e *Engine) ReceiveHeartbeat(now time.Time, msg Message) Message {
 	e.merge(now, msg.Members, msg.Name)
 	resp := e.newMessage()
-	if m := e.members[msg.Name]; m != nil {
+	if m := e.index.byName[msg.Name]; m != nil {
 		resp.Members = e.takePendingRecords(m)
 	}
 	if len(msg.BucketSums) == bucketCount {
 		resp.Members = append(resp.Members, e.recordsInDifferingBuckets(msg.BucketSums)...)
 		return resp
 	}
-	if msg.Digest != resp.Digest && now.Sub(e.lastChange) > settleTime || e.members[msg.Name] == nil {
+	if msg.Digest != resp.Digest && now.Sub(e.lastChange) > settleTime || e.index.byName[msg.Name] == nil {
 		resp.BucketSums = slices.Clone(e.bucketSums[:])
 	}
 	if len(msg.Members) == 1 && msg.Members[0].Name == msg.Name {
@@ -392,19 +414,18 @@
 // recordsInDifferingBuckets returns the records of all buckets whose sums differ from the given sums.
 func (e *Engine) recordsInDifferingBuckets(sums []uint64) []Member {
 	var records []Member
-	for name, m := range e.members {
-		b := bucketOf(name)
+	for _, m := range e.index.sorted {
+		b := bucketOf(m.position)
 		if e.bucketSums[b] != sums[b] {
 			records = append(records, m.Member)
 		}
 	}
-	slices.SortFunc(records, func(a, b Member) int { return compareNames(a.Name, b.Name) })
 	return records
 }
 
 // ReceiveResponse handles the response to a heartbeat. The response proves that the round trip to the named node works.
 func (e *Engine) ReceiveResponse(now time.Time, heartbeat OutgoingHeartbeat, resp Message) {
-	if m := e.members[heartbeat.Name]; m != nil {
+	if m := e.index.byName[heartbeat.Name]; m != nil {
 		if resp.Name != heartbeat.Name {
 			e.declareDead(now, m) // another node now has this address
 		}
@@ -412,6 +433,9 @@
 		e.requestRefutation(now, m, resp)
 	}
 	e.merge(now, resp.Members, resp.Name)
+	if m := e.index.byName[resp.Name]; m != nil && resp.Digest != e.digest() {
+		m.nextHeartbeat = earlier(m.nextHeartbeat, now.Add(settleTime)) // compare the views again soon
+	}
 	if len(resp.BucketSums) != bucketCount || now.Sub(e.lastSync) < syncInterval || resp.Digest == e.digest() {
 		return
 	}
@@ -432,3 +456,10 @@
 	e.lastSync = now
 	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Name: m.Name, Address: m.Address, Message: msg})
 }
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/membership/failure_detection.go
+++ b/membership/failure_detection.go
@@ -7,14 +7,12 @@
 
 // HeartbeatFailed handles a heartbeat that got no response. It asks other nodes to probe the node that did not respond.
 func (e *Engine) HeartbeatFailed(now time.Time, heartbeat OutgoingHeartbeat) {
-	m := e.members[heartbeat.Name]
+	m := e.index.byName[heartbeat.Name]
 	if m == nil || !m.live() || m == e.self {
 		return
 	}
 	for _, record := range heartbeat.Message.Members {
-		if !slices.Contains(m.pendingRecords, record.Name) {
-			m.pendingRecords = append(m.pendingRecords, record.Name)
-		}
+		e.addPending(m, record.Name)
 	}
 	m.failedHeartbeats++
 	m.nextHeartbeat = now
@@ -31,7 +29,7 @@
 
 // ReceiveProbeResult handles the result of the indirect probe p; reached reports whether the probed node responded.
 func (e *Engine) ReceiveProbeResult(now time.Time, p IndirectProbe, reached bool) {
-	m := e.members[p.Name]
+	m := e.index.byName[p.Name]
 	if m == nil || !reached {
 		return
 	}
@@ -41,7 +39,7 @@
 
 // declareUnreachable declares nodes dead that neither heartbeats nor indirect probes could reach.
 func (e *Engine) declareUnreachable(now time.Time) {
-	for _, m := range e.probedMembers() {
+	for _, m := range e.index.sorted {
 		if m.probeDeadline.IsZero() || now.Before(m.probeDeadline) || !m.live() {
 			continue
 		}
@@ -52,18 +50,6 @@
 	}
 }
 
-// probedMembers returns the members with pending indirect probes, sorted by name.
-func (e *Engine) probedMembers() []*memberState {
-	var probed []*memberState
-	for _, m := range e.members {
-		if !m.probeDeadline.IsZero() {
-			probed = append(probed, m)
-		}
-	}
-	slices.SortFunc(probed, func(a, b *memberState) int { return compareNames(a.Name, b.Name) })
-	return probed
-}
-
 func (e *Engine) declareDead(now time.Time, m *memberState) {
 	if !m.live() {
 		return
@@ -73,10 +59,16 @@
 	e.storeRecord(now, next, "")
 }
 
+// removeExpired removes the records of nodes that have been dead or gone for deadRecordRetention.
 func (e *Engine) removeExpired(now time.Time) {
-	for name, m := range e.members {
+	if now.Before(e.nextExpiry) {
+		return
+	}
+	e.nextExpiry = now.Add(expiryInterval)
+	for _, m := range slices.Clone(e.index.sorted) {
 		if m != e.self && !m.live() && now.Sub(m.changedAt) > deadRecordRetention {
-			delete(e.members, name)
+			e.index.remove(m)
+			e.output.Removed = append(e.output.Removed, m.Name)
 		}
 	}
 }
--- a/membership/member.go
+++ b/membership/member.go
@@ -60,6 +60,7 @@
 	Name        string
 	Incarnation uint64
 	Seq         uint64
+	HealthSeq   uint64 // counts the changes of Suspect flags since the record got its Seq
 	Status      Status
 	Region      string
 	DataCentre  string
@@ -75,13 +76,31 @@
 	if c := cmp.Compare(m.Seq, other.Seq); c != 0 {
 		return c > 0
 	}
-	return m.Status > other.Status
+	if c := cmp.Compare(m.Status, other.Status); c != 0 {
+		return c > 0
+	}
+	return m.HealthSeq > other.HealthSeq
+}
+
+// sameButHealth reports whether two records differ in nothing but the Suspect flags of upstreams.
+func (m *Member) sameButHealth(other *Member) bool {
+	if m.Incarnation != other.Incarnation || m.Seq != other.Seq || m.Status != other.Status || m.Address != other.Address || len(m.Upstreams) != len(other.Upstreams) {
+		return false
+	}
+	for i, u := range m.Upstreams {
+		old := other.Upstreams[i]
+		if old.Suspect = u.Suspect; old != u {
+			return false
+		}
+	}
+	return true
 }
 
 // live reports whether the node is alive or leaving.
 func (m *Member) live() bool { return m.Status == Alive || m.Status == Leaving }
 
-// hash returns a hash of the record's name, incarnation, sequence number and status, which is used to compare views.
+// hash returns a hash of the record's name, incarnation, sequence number and status, which is used to compare views. The health of
+// upstreams is not part of it: views that differ only in health count as equal.
 func (m *Member) hash() uint64 {
 	var b [24]byte
 	binary.LittleEndian.PutUint64(b[:], m.Incarnation)
@@ -97,4 +116,5 @@
 // bucketCount is the number of buckets into which the members are divided, by a hash of their names, to compare views.
 const bucketCount = 32
 
-func bucketOf(name string) int { return int(xxhash.Sum64String(name) % bucketCount) }
+// bucketOf returns the bucket of a node, given the hash of its name.
+func bucketOf(position uint64) int { return int(position % bucketCount) }
--- a/membership/neighbour.go
+++ b/membership/neighbour.go
@@ -1,20 +1,14 @@
 package membership
 
 import (
-	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // ringSuccessorCount is the number of a node's successors, in the ring of its data centre, that are its neighbours.
 const ringSuccessorCount = 2
 
-func compareNames(a, b string) int { return strings.Compare(a, b) }
-
 // chooseNeighbours selects the neighbours: the successors and the node half-way round in the ring of the data centre
 // and, if this node is a relay, relays of other data centres.
 func (e *Engine) chooseNeighbours() {
@@ -24,12 +18,12 @@
 	e.neighboursStale = false
 	previous := e.neighbours
 	e.neighbours = nil
-	ring := e.ring(e.self.DataCentre)
-	i := slices.Index(ring, e.self)
+	own := e.index.ring(e.self.DataCentre)
+	i := own.indexOf(e.self)
 	for k := 1; k <= ringSuccessorCount; k++ {
-		e.addNeighbour(ring[(i+k)%len(ring)])
+		e.addNeighbour(own.at(i + k))
 	}
-	e.addNeighbour(ring[(i+len(ring)/2)%len(ring)])
+	e.addNeighbour(own.at(i + len(own.nodes)/2))
 	if i < relaysPerDataCentre {
 		e.addRelays(i)
 	}
@@ -51,53 +45,24 @@
 // the relays of the other data centres.
 func (e *Engine) addRelays(i int) {
 	regions := make(map[string][]string) // data centres by region, sorted
-	for _, dc := range e.dataCentres() {
-		r := e.ring(dc)[0].Region
+	for _, dc := range e.index.dataCentres() {
+		r := e.index.ring(dc).at(0).Region
 		regions[r] = append(regions[r], dc)
 	}
 	ownIndex := slices.Index(regions[e.self.Region], e.self.DataCentre)
 	for _, r := range slices.Sorted(maps.Keys(regions)) {
 		for k, dc := range regions[r] {
 			otherInRegion := r == e.self.Region && dc != e.self.DataCentre
-			if ring := e.ring(dc); otherInRegion || r != e.self.Region && k == (ownIndex+i)%len(regions[r]) {
-				e.addNeighbour(ring[i%len(ring)])
+			if otherInRegion || r != e.self.Region && k == (ownIndex+i)%len(regions[r]) {
+				e.addNeighbour(e.index.ring(dc).at(i))
 			}
 		}
 	}
 }
 
-// ring returns the live nodes of a data centre sorted by the hash of their names; the first ones are its relays.
-func (e *Engine) ring(dc string) []*memberState {
-	var ring []*memberState
-	for _, m := range e.members {
-		if m.DataCentre == dc && (m.live() || m == e.self) {
-			ring = append(ring, m)
-		}
-	}
-	slices.SortFunc(ring, func(a, b *memberState) int {
-		if c := cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)); c != 0 {
-			return c
-		}
-		return compareNames(a.Name, b.Name)
-	})
-	return ring
-}
-
-func (e *Engine) dataCentres() []string {
-	var names []string
-	for _, m := range e.members {
-		if m.live() && !slices.Contains(names, m.DataCentre) {
-			names = append(names, m.DataCentre)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
-
 // IsRelay reports whether the node is a relay of its data centre, which exchanges heartbeats with other data centres.
 func (e *Engine) IsRelay() bool {
-	ring := e.ring(e.self.DataCentre)
-	return slices.Index(ring, e.self) < relaysPerDataCentre
+	return e.index.ring(e.self.DataCentre).indexOf(e.self) < relaysPerDataCentre
 }
 
 // Neighbours returns the records of the nodes to which this node sends regular heartbeats and new records.
@@ -114,7 +79,7 @@
 // not fail.
 func (e *Engine) randomResponsiveNodes(n int, skip *memberState) []*memberState {
 	var candidates []*memberState
-	for _, m := range e.sortedMembers() {
+	for _, m := range e.index.sorted {
 		if m != e.self && m != skip && m.Status == Alive && m.failedHeartbeats == 0 {
 			candidates = append(candidates, m)
 		}
--- a/membership/seed.go
+++ b/membership/seed.go
@@ -25,8 +25,8 @@
 
 // unknownSeeds returns the seeds at whose address no live node is known. Two groups of nodes that formed apart meet there.
 func (e *Engine) unknownSeeds() []string {
-	known := make(map[string]bool, len(e.members))
-	for _, m := range e.members {
+	known := make(map[string]bool, len(e.index.sorted))
+	for _, m := range e.index.sorted {
 		if m.live() || m == e.self {
 			known[m.Address] = true
 		}
--- a/node/admin.go
+++ b/node/admin.go
@@ -66,7 +66,7 @@
 		BundleVersion: latest.Version,
 		Digest:        head.Digest().String(),
 		InForce:       n.Bundle().Digest().String(),
-		Members:       len(n.view.Load().live),
+		Members:       n.view.liveCount(),
 		Shards:        n.owners.OwnedShards(),
 		Serving:       n.servingShards(),
 		LogUp:         !n.logServiceDown,
@@ -147,7 +147,7 @@
 	eventLists := [][]event.Event{a.n.Events(f)}
 	var wg sync.WaitGroup
 	semaphore := make(chan struct{}, timelineConcurrency)
-	for _, m := range a.n.view.Load().live {
+	for _, m := range a.n.view.liveMembers() {
 		if m.Name == a.n.cfg.Name || f.Node != "" && f.Node != m.Name {
 			continue
 		}
--- a/node/keys.go
+++ b/node/keys.go
@@ -121,7 +121,7 @@
 	if name == n.cfg.Name {
 		return n.Keyed(ctx, k)
 	}
-	m, ok := n.view.Load().byName[name]
+	m, ok := n.view.member(name)
 	if !ok || m.Status == membership.Dead || m.Status == membership.Left || n.unresponsive.has(name) {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeKeyOwner, nil)
 	}
--- a/node/limit.go
+++ b/node/limit.go
@@ -52,14 +52,14 @@
 	n.limits.mu.Lock()
 	defer n.limits.mu.Unlock()
 	if err != nil {
-		n.limits.callerLimiter.ApplyFailure(now, tokenReq, callerRate/float64(max(1, len(n.view.Load().live))))
+		n.limits.callerLimiter.ApplyFailure(now, tokenReq, callerRate/float64(max(1, n.view.liveCount())))
 		return
 	}
 	n.limits.callerLimiter.ApplyGrant(now, tokenReq, granted)
 }
 
 func (n *Node) sendTokenRequest(tokenReq quota.TokenRequest) (float64, error) {
-	home := homeNode(tokenReq.Caller, n.view.Load().live)
+	home := homeNode(tokenReq.Caller, n.view.liveMembers())
 	if home.Name == n.cfg.Name {
 		return n.GrantTokens(tokenReq.Caller, tokenReq.RequestedTokens, tokenReq.UngrantedRequests), nil
 	}
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -217,7 +217,7 @@
 	for _, gate := range n.gates.all() {
 		gate.SetClasses(admissionClasses(newBundle, gate.Announcement().Service))
 	}
-	n.updateServices(n.view.Load())
+	n.updateAllServices()
 }
 
 // logPositions returns the node's next read position in each stream; the caller holds n.mu.
--- a/node/members.go
+++ b/node/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -18,25 +19,9 @@
 	heartbeatTimeout   = 500 * time.Millisecond
 	syncTimeout        = 3 * time.Second // timeout for an exchange that carries many members or log entries
 	probeTimeout       = 400 * time.Millisecond
+	maxLoggedJoins     = 4 // maximum number of log lines on nodes that joined with one message; their number is logged if there are more
 )
 
-// fleetView is an immutable snapshot of the members. Requests read it without locking.
-type fleetView struct {
-	byName map[string]membership.Member
-	live   []membership.Member
-}
-
-func newFleetView(members []membership.Member) *fleetView {
-	view := &fleetView{byName: make(map[string]membership.Member, len(members))}
-	for _, m := range members {
-		view.byName[m.Name] = m
-		if m.Status == membership.Alive || m.Status == membership.Leaving {
-			view.live = append(view.live, m)
-		}
-	}
-	return view
-}
-
 func ownershipNode(m membership.Member) ownership.Node {
 	return ownership.Node{
 		NodeRef:    ownership.NodeRef{Name: m.Name, Incarnation: m.Incarnation},
@@ -66,8 +51,8 @@
 
 // handleMembershipOutput applies the member changes of the membership engine and sends its heartbeats and probes.
 func (n *Node) handleMembershipOutput(output membership.Output) {
-	if len(output.Changes) > 0 {
-		n.applyMemberChanges(output.Changes)
+	if len(output.Changes)+len(output.Removed) > 0 {
+		n.applyMemberChanges(output)
 	}
 	for _, s := range output.Heartbeats {
 		n.spawn(func() { n.sendHeartbeat(s) })
@@ -152,64 +137,151 @@
 	return err == nil
 }
 
-// applyMemberChanges records the changes as events and gives the current members to routing and ownership.
-func (n *Node) applyMemberChanges(changes []membership.MemberChange) {
-	for _, c := range changes {
-		n.recordMemberChange(c)
+// applyMemberChanges records the changes as events and applies the current records of the changed members to the view, the balancers
+// and, with the own protocols, to ownership.
+func (n *Node) applyMemberChanges(output membership.Output) {
+	n.recordMemberChanges(output.Changes)
+	n.servicesMu.Lock()
+	defer n.servicesMu.Unlock()
+	update := upstreamUpdate{}
+	liveBefore := n.view.liveCount()
+	for _, c := range output.Changes {
+		n.mu.Lock()
+		m, known := n.members.Member(c.New.Name) // a later change may have been applied already
+		n.mu.Unlock()
+		if known {
+			update.add(n, n.view.replace(m), m)
+		}
 	}
-	n.mu.Lock()
-	members := n.members.Members()
-	view := newFleetView(members)
-	nodes := make([]ownership.Node, 0, len(view.live))
-	for _, m := range view.live {
+	for _, name := range output.Removed {
+		update.add(n, n.view.remove(name), membership.Member{Name: name, Status: membership.Left})
+	}
+	if !n.protocols.hasConfigSource() {
+		n.updateOwnership()
+	}
+	live := n.view.liveCount()
+	n.metrics.liveMembers.Set(float64(live))
+	n.applyUpstreams(update)
+	if live != liveBefore {
+		n.shareRetryReserve(live)
+	}
+}
+
+// updateOwnership gives the live members to the ownership engine.
+func (n *Node) updateOwnership() {
+	var nodes []ownership.Node
+	for _, m := range n.view.liveMembers() {
 		nodes = append(nodes, ownershipNode(m))
 	}
+	n.mu.Lock()
 	n.owners.SetMembers(nodes)
-	n.view.Store(view)
 	n.mu.Unlock()
-	n.metrics.liveMembers.Set(float64(len(view.live)))
-	n.updateServices(view)
 }
 
-func (n *Node) recordMemberChange(c membership.MemberChange) {
-	if c.New.Name == n.cfg.Name || c.New.Status == c.Old.Status && c.New.Incarnation == c.Old.Incarnation {
+// upstreamUpdate holds the changes of upstreams by service.
+type upstreamUpdate map[string]*serviceUpdate
+
+// serviceUpdate holds the changes of the upstreams of one service.
+type serviceUpdate struct {
+	changed []routing.Upstream
+	removed []string
+}
+
+// add adds the changes of the upstreams of one member.
+func (up upstreamUpdate) add(n *Node, before, m membership.Member) {
+	for _, u := range before.Upstreams {
+		if m.Status == membership.Left || !slices.ContainsFunc(m.Upstreams, func(x membership.Upstream) bool { return x.ID == u.ID && x.Service == u.Service }) {
+			s := up.service(u.Service)
+			s.removed = append(s.removed, upstreamID(m, u))
+		}
+	}
+	if m.Status == membership.Left {
 		return
 	}
-	eventKinds := map[membership.Status]event.Kind{
-		membership.Alive: event.Join, membership.Leaving: event.Leave, membership.Left: event.Leave, membership.Dead: event.Dead,
+	for _, u := range m.Upstreams {
+		s := up.service(u.Service)
+		s.changed = append(s.changed, n.routedUpstream(m, u))
 	}
-	n.events.Add(event.Event{Kind: eventKinds[c.New.Status], Text: c.New.Name + " " + c.New.Status.String()})
-	_ = level.Info(n.logger).Log("msg", "member", "member", c.New.Name, "status", c.New.Status)
 }
 
-// updateServices updates the upstreams and the retry reserve of every service.
-func (n *Node) updateServices(view *fleetView) {
+func (up upstreamUpdate) service(name string) *serviceUpdate {
+	if up[name] == nil {
+		up[name] = &serviceUpdate{}
+	}
+	return up[name]
+}
+
+// upstreamID returns the ID of an upstream in the fleet.
+func upstreamID(m membership.Member, u membership.Upstream) string { return m.Name + "/" + u.ID }
+
+// routedUpstream returns the upstream of a member in the form that the balancer takes.
+func (n *Node) routedUpstream(m membership.Member, u membership.Upstream) routing.Upstream {
+	return routing.Upstream{
+		ID:      upstreamID(m, u),
+		Node:    m.Name,
+		Tier:    n.tierOf(m),
+		Slots:   u.Slots,
+		Ready:   m.Status == membership.Alive && u.State != membership.Draining,
+		Suspect: u.Suspect,
+	}
+}
+
+// applyUpstreams applies the changes of upstreams to the balancers; the caller holds n.servicesMu.
+func (n *Node) applyUpstreams(update upstreamUpdate) {
+	now := time.Now()
+	services := *n.services.Load()
+	for name, u := range update {
+		if svc := services[name]; svc != nil {
+			svc.mu.Lock()
+			svc.balancer.Apply(now, u.changed, u.removed)
+			svc.mu.Unlock()
+		}
+	}
+}
+
+// shareRetryReserve gives this node its share of the retry reserve of each service.
+func (n *Node) shareRetryReserve(live int) {
+	reservePerNode := n.Bundle().Policy().RetryReserve() / float64(max(1, live))
+	for _, svc := range *n.services.Load() {
+		svc.mu.Lock()
+		svc.retryBudget.SetReserve(reservePerNode, retryReserveWindow)
+		svc.mu.Unlock()
+	}
+}
+
+// updateAllServices gives all upstreams to the balancers, of which some may be new, and shares the retry reserve.
+func (n *Node) updateAllServices() {
 	n.servicesMu.Lock()
 	defer n.servicesMu.Unlock()
-	byService := make(map[string][]routing.Upstream)
-	for _, m := range view.byName {
-		if m.Status == membership.Left {
+	update := upstreamUpdate{}
+	for _, m := range n.view.members() {
+		update.add(n, membership.Member{}, m)
+	}
+	n.applyUpstreams(update)
+	n.shareRetryReserve(n.view.liveCount())
+}
+
+// recordMemberChanges records the nodes that joined, left or died as events and in the log.
+func (n *Node) recordMemberChanges(changes []membership.MemberChange) {
+	eventKinds := map[membership.Status]event.Kind{
+		membership.Alive: event.Join, membership.Leaving: event.Leave, membership.Left: event.Leave, membership.Dead: event.Dead,
+	}
+	joined := 0
+	for _, c := range changes {
+		if c.New.Name == n.cfg.Name || c.New.Status == c.Old.Status && c.New.Incarnation == c.Old.Incarnation {
 			continue
 		}
-		for _, u := range m.Upstreams {
-			routed := routing.Upstream{
-				ID:      m.Name + "/" + u.ID,
-				Node:    m.Name,
-				Tier:    n.tierOf(m),
-				Slots:   u.Slots,
-				Ready:   m.Status == membership.Alive && u.State != membership.Draining,
-				Suspect: u.Suspect,
+		n.events.Add(event.Event{Kind: eventKinds[c.New.Status], Text: c.New.Name + " " + c.New.Status.String()})
+		if c.New.Status == membership.Alive {
+			joined++
+			if joined > maxLoggedJoins {
+				continue
 			}
-			byService[u.Service] = append(byService[u.Service], routed)
 		}
+		_ = level.Info(n.logger).Log("msg", "member", "member", c.New.Name, "status", c.New.Status)
 	}
-	now := time.Now()
-	reservePerNode := n.Bundle().Policy().RetryReserve() / float64(max(1, len(view.live)))
-	for name, svc := range *n.services.Load() {
-		svc.mu.Lock()
-		svc.retryBudget.SetReserve(reservePerNode, retryReserveWindow)
-		svc.balancer.Update(now, byService[name])
-		svc.mu.Unlock()
+	if joined > maxLoggedJoins {
+		_ = level.Info(n.logger).Log("msg", "members", "joined", joined, "live", n.view.liveCount())
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -58,9 +58,9 @@
 	lastSnapshotAt map[string]time.Time           // time of the newest snapshot in the log, by stream
 	logServiceDown bool                           // whether the last call to the log service failed
 	catchingUp     bool                           // whether missing log entries are being fetched from another node
-	view           atomic.Pointer[fleetView]
 	bundle         atomic.Pointer[bundle.Bundle]
 
+	view         fleetView
 	gates        gateSet
 	services     atomic.Pointer[map[string]*serviceState]
 	servicesMu   sync.Mutex
@@ -118,7 +118,6 @@
 	})
 	n.keys.waiters = make(map[string]chan struct{})
 	n.bundle.Store(bundle.Empty())
-	n.view.Store(newFleetView(nil))
 	n.services.Store(&map[string]*serviceState{})
 	n.gates.byID = make(map[string]*upstream.Gate)
 	n.gates.announcedSuspect = make(map[*upstream.Gate]bool)
--- a/node/owners.go
+++ b/node/owners.go
@@ -46,7 +46,10 @@
 	}
 }
 
-func (n *Node) memberAddress(name string) string { return n.view.Load().byName[name].Address }
+func (n *Node) memberAddress(name string) string {
+	m, _ := n.view.member(name)
+	return m.Address
+}
 
 func (n *Node) renewLeases(r ownership.LeaseRenewal) {
 	incarnation, refused, err := n.requestRenewal(r)
--- a/node/run.go
+++ b/node/run.go
@@ -76,7 +76,10 @@
 		serve(servers.ready, n.listeners.ready)
 	}
 	serve(servers.caller, n.listeners.caller)
-	n.applyMemberChanges(nil)
+	n.mu.Lock()
+	self := n.members.Self()
+	n.mu.Unlock()
+	n.applyMemberChanges(membership.Output{Changes: []membership.MemberChange{{New: self}}})
 	n.startLoops(loopCtx)
 	n.events.Add(event.Event{Kind: event.Start, Text: n.cfg.DataCentre})
 	_ = level.Info(n.logger).Log("msg", "started", "caller", n.listeners.caller.Addr(), "peer", n.listeners.peer.Addr())
--- a/node/serve.go
+++ b/node/serve.go
@@ -103,7 +103,8 @@
 	if nodeName == n.cfg.Name {
 		return n.cfg.DataCentre
 	}
-	return n.view.Load().byName[nodeName].DataCentre
+	m, _ := n.view.member(nodeName)
+	return m.DataCentre
 }
 
 func (n *Node) deliver(ctx context.Context, choice routing.Choice, attempt *upstream.Attempt) (*upstream.Response, error) {
@@ -111,7 +112,7 @@
 	if choice.Node == n.cfg.Name {
 		return n.Attempt(ctx, upstreamID, attempt)
 	}
-	member, ok := n.view.Load().byName[choice.Node]
+	member, ok := n.view.member(choice.Node)
 	if !ok {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("node is no longer a member"))
 	}
@@ -173,7 +174,7 @@
 // queryHealth asks the node of an upstream for the upstream's health and records the health in state.
 // If the node does not respond, the upstream is marked as unreachable.
 func (n *Node) queryHealth(state *serviceState, classIndex int, choice routing.Choice, className string) error {
-	member, ok := n.view.Load().byName[choice.Node]
+	member, ok := n.view.member(choice.Node)
 	if !ok {
 		return errors.Errorf("node %s is no longer a member", choice.Node)
 	}
--- a/node/unresponsive.go
+++ b/node/unresponsive.go
@@ -56,7 +56,7 @@
 	defer n.unresponsive.remove(name)
 	for !n.stopping.Load() {
 		time.Sleep(pingInterval)
-		member := n.view.Load().byName[name]
+		member, _ := n.view.member(name)
 		if member.Address != address || member.Status == membership.Dead || member.Status == membership.Left || n.ping(address) {
 			return
 		}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -13,7 +13,6 @@
 
 // Parameters of the estimates that a balancer keeps about upstreams.
 const (
-	maxSubset             = 32                     // maximum number of upstreams of one service that a node routes to
 	loadDecayTime         = 500 * time.Millisecond // time constant with which a reported load decays to the expected load
 	utilizationDecayTime  = 2 * time.Second        // time constant with which the utilization of a region decays
 	utilizationWeight     = 0.2                    // weight of one report in the moving average of the utilization of a region
@@ -106,8 +105,8 @@
 // Balancer chooses upstreams for the requests of one service.
 type Balancer struct {
 	service     string
-	self        string  // name of the node
-	floor       float64 // minimum share of upstreams that ejection leaves in service
+	floor       float64    // minimum share of upstreams that ejection leaves in service
+	all         candidates // the upstreams of the service; byID holds those that the node routes to
 	byID        map[string]*endpoint
 	ready       [tierCount][]*endpoint // ready upstreams, sorted by ID
 	utilization [2]utilization         // of the node's own region and of the others; see regionIndex
@@ -117,7 +116,7 @@
 
 // NewBalancer returns a balancer for one service at the node self; floor is the minimum share of upstreams that ejection leaves in service.
 func NewBalancer(service, self string, floor float64) *Balancer {
-	return &Balancer{service: service, self: self, floor: floor, byID: make(map[string]*endpoint)}
+	return &Balancer{service: service, floor: floor, all: candidates{self: xxhash.Sum64String(self)}, byID: make(map[string]*endpoint)}
 }
 
 // SetFloor changes the minimum share of upstreams that ejection leaves in service.
@@ -125,19 +124,56 @@
 
 // Update replaces the upstreams of the service with those that the membership protocol announces.
 func (lb *Balancer) Update(now time.Time, upstreams []Upstream) {
-	upstreams = lb.subset(upstreams)
-	seen := make(map[string]bool, len(upstreams))
+	listed := make(map[string]bool, len(upstreams))
 	for _, u := range upstreams {
-		seen[u.ID] = true
-		lb.upsert(now, u)
+		listed[u.ID] = true
+	}
+	var removed []string
+	for _, u := range lb.all.ranked {
+		if !listed[u.ID] {
+			removed = append(removed, u.ID)
+		}
+	}
+	lb.Apply(now, upstreams, removed)
+}
+
+// Apply adds or changes some upstreams of the service and removes those with the given IDs; the others remain.
+func (lb *Balancer) Apply(now time.Time, changed []Upstream, removed []string) {
+	reselect, rebuild := false, false
+	for _, id := range removed {
+		reselect = lb.all.remove(id) || reselect
+	}
+	for _, u := range changed {
+		reselect = lb.all.set(u) || reselect
+	}
+	if reselect {
+		changed = lb.all.subset()
+		lb.keepOnly(changed)
+		rebuild = true
+	}
+	for _, u := range changed {
+		if e := lb.byID[u.ID]; e != nil || reselect {
+			rebuild = rebuild || e.Ready != u.Ready
+			lb.upsert(now, u)
+		}
+	}
+	lb.populated = lb.populated || len(lb.byID) > 0
+	if rebuild {
+		lb.rebuildTiers()
+	}
+}
+
+// keepOnly removes the endpoints whose upstream isn't listed.
+func (lb *Balancer) keepOnly(list []Upstream) {
+	listed := make(map[string]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
 	}
 	for id := range lb.byID {
-		if !seen[id] {
+		if !listed[id] {
 			delete(lb.byID, id)
 		}
 	}
-	lb.populated = lb.populated || len(upstreams) > 0
-	lb.rebuildTiers()
 }
 
 // upsert adds the upstream or updates it.
@@ -178,33 +214,6 @@
 	return outlier.Decay(e.lastSuspicion, now.Sub(e.suspicionAt))
 }
 
-// subset returns at most maxSubset upstreams: first the highest ranked of each tier up to the quota of the tier, then the highest ranked
-// of the others.
-func (lb *Balancer) subset(upstreams []Upstream) []Upstream {
-	if len(upstreams) <= maxSubset {
-		return upstreams
-	}
-	ranked := slices.Clone(upstreams)
-	slices.SortFunc(ranked, func(a, b Upstream) int {
-		return cmp.Compare(lb.rank(b), lb.rank(a))
-	})
-	var selected, rest []Upstream
-	quota := [tierCount]int{maxSubset / 2, maxSubset / 4, maxSubset / 4}
-	for _, u := range ranked {
-		if quota[u.Tier] > 0 {
-			quota[u.Tier]--
-			selected = append(selected, u)
-			continue
-		}
-		rest = append(rest, u)
-	}
-	remaining := maxSubset - len(selected)
-	return append(selected, rest[:min(remaining, len(rest))]...)
-}
-
-// rank returns a hash of the node and the upstream, so that different nodes rank the same upstreams differently.
-func (lb *Balancer) rank(u Upstream) uint64 { return xxhash.Sum64String(lb.self + "|" + u.ID) }
-
 // rebuildTiers rebuilds the lists of ready upstreams from which Pick samples.
 func (lb *Balancer) rebuildTiers() {
 	for tier := range lb.ready {
