--- a/membership/neighbour.go
+++ b/membership/neighbour.go
@@ -9,6 +9,9 @@
 // ringSuccessorCount is the number of a node's successors, in the ring of its data centre, that are its neighbours.
 const ringSuccessorCount = 2
 
+// maxSharedReaders is the maximum number of nodes in a region whose data centres share the readers of the log service.
+const maxSharedReaders = 32
+
 // chooseNeighbours selects the neighbours: the successors and the node half-way round in the ring of the data centre
 // and, if this node is a relay, relays of other data centres.
 func (e *Engine) chooseNeighbours() {
@@ -65,6 +68,22 @@
 	return e.index.ring(e.self.DataCentre).indexOf(e.self) < relaysPerDataCentre
 }
 
+// Readers returns the names of the nodes that may read the log service for the nodes of their data centre, by preference, at most two.
+// Data centres of a small region share them.
+func (e *Engine) Readers() []string {
+	nodes := e.index.ring(e.self.DataCentre).nodes
+	if e.index.regionSize(e.self.Region) <= maxSharedReaders {
+		nodes = e.index.region(e.self.Region)
+	}
+	var names []string
+	for _, m := range nodes {
+		if m.Status == Alive && len(names) < relaysPerDataCentre {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
 // Neighbours returns the records of the nodes to which this node sends regular heartbeats and new records.
 func (e *Engine) Neighbours() []Member {
 	e.chooseNeighbours()
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -33,14 +32,10 @@
 	}
 }
 
-// registerContact reads the directory and registers the contact of this node if it is missing. It then reads the directory again:
-// if two nodes start at the same time, at least one of them sees the other.
+// registerContact registers the contact of this node and then reads the directory: if two nodes start at the same time, at least one
+// of them sees the other.
 func (n *Node) registerContact(ctx context.Context) ([]platform.Contact, error) {
 	self := platform.Contact{Name: n.cfg.Name, Address: n.listeners.peer.Addr().String()}
-	contacts, err := n.loadSeeds(ctx, self)
-	if err != nil || slices.Contains(contacts, self) {
-		return contacts, err
-	}
 	if err := n.protocols.directory.Register(ctx, self); err != nil {
 		return nil, errors.Wrap(err, "register contact")
 	}
--- a/node/members.go
+++ b/node/members.go
@@ -63,32 +63,41 @@
 }
 
 func (n *Node) sendHeartbeat(s membership.OutgoingHeartbeat) {
+	timeout := heartbeatTimeout
+	if len(s.Message.Members) > 1 || s.Name == "" {
+		timeout = syncTimeout
+	}
+	_, _ = n.exchange(s, timeout, false) // the membership engine has been told of a failure
+}
+
+// exchange sends a heartbeat and gives the response, or the failure, to the membership engine. If confirm is true, it asks whether the
+// receiver reads the published versions.
+func (n *Node) exchange(s membership.OutgoingHeartbeat, timeout time.Duration, confirm bool) (peer.Heartbeat, error) {
 	n.mu.Lock()
 	hb := n.newHeartbeat(s.Message, s.Name)
 	n.mu.Unlock()
-	timeout := heartbeatTimeout
-	if len(hb.Message.Members) > 1 || len(hb.Entries) > 0 || s.Name == "" {
+	hb.Confirm = confirm
+	if len(hb.Entries) > 0 {
 		timeout = syncTimeout
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	resp, err := n.client.Exchange(ctx, s.Address, hb)
 	now := time.Now()
+	n.mu.Lock()
 	if err != nil {
-		n.mu.Lock()
 		n.members.HeartbeatFailed(now, s)
-		output := n.members.TakeOutput()
-		n.mu.Unlock()
-		n.handleMembershipOutput(output)
-		return
+	} else {
+		n.clock.Observe(resp.Stamp)
+		n.members.ReceiveResponse(now, s, resp.Message)
 	}
-	n.clock.Observe(resp.Stamp)
-	n.mu.Lock()
-	n.members.ReceiveResponse(now, s, resp.Message)
 	output := n.members.TakeOutput()
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
-	n.applyHeartbeatLog(resp, s.Address)
+	if err == nil {
+		n.applyHeartbeatLog(resp, s.Address)
+	}
+	return resp, err
 }
 
 // newHeartbeat returns a heartbeat with the membership message m, this node's log positions and the log entries that the
@@ -112,6 +121,7 @@
 	n.members.Flush(now)
 	output := n.members.TakeOutput()
 	resp := n.newHeartbeat(msg, hb.Message.Name)
+	resp.Confirmed = hb.Confirm && n.versionReader != nil && n.versionReader.Confirms(now) && !n.stopping.Load()
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
 	return resp
--- a/node/versions.go
+++ b/node/versions.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/platform"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/pkg/errors"
@@ -14,7 +15,9 @@
 
 // Timing of reads of the bundle versions that the operator publishes.
 const (
-	longPollWait   = 20 * time.Second       // how long the log service waits for new records before it returns an empty page
+	longPollWait   = 2 * time.Second        // how long the log service waits for new records before it returns an empty page
+	askTimeout     = 300 * time.Millisecond // maximum time for a reader of the data centre to confirm that it reads
+	readerTick     = 50 * time.Millisecond  // interval between checks of whether this node is to read
 	batchDelay     = 800 * time.Millisecond // wait after new records, so that versions published in quick succession are read together
 	initialBackoff = 200 * time.Millisecond // delay after the first failed call, before jitter
 	maxBackoff     = 2 * time.Second        // delay at most, before jitter
@@ -32,51 +35,105 @@
 	return b.delay/2 + rand.N(b.delay)
 }
 
-// followVersions reads the newest published version and then each later one until ctx ends.
+// followVersions reads the published versions whenever this node is to read them, until ctx ends.
 func (n *Node) followVersions(ctx context.Context) {
 	var b backoff
-	for ctx.Err() == nil {
-		v, next, found, err := n.protocols.configSource.Newest(ctx)
-		if ctx.Err() != nil {
-			return
+	var next platform.Offset
+	started := false // whether next is known
+	for n.awaitReading(ctx) {
+		if started {
+			started = n.readVersions(ctx, &next, &b)
+			continue
 		}
-		if !n.callSucceeded(ctx, err, &b) {
+		v, offset, found, err := n.protocols.configSource.Newest(ctx)
+		if ctx.Err() != nil || !n.callSucceeded(ctx, err, &b) {
 			continue
 		}
 		if found {
 			n.acceptVersion(v)
 		}
-		n.followVersionsFrom(ctx, next)
+		next, started = offset, true
+		n.recordVersionsRead()
 	}
 }
 
-// followVersionsFrom reads versions from the offset next onwards until the log lacks records there or ctx ends.
-func (n *Node) followVersionsFrom(ctx context.Context, next platform.Offset) {
-	var b backoff
+// awaitReading waits until this node is to read the published versions; it returns false once ctx has ended.
+func (n *Node) awaitReading(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		versions, after, rejected, err := n.protocols.configSource.Follow(ctx, next, longPollWait)
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, platform.ErrGap) {
-			_ = level.Info(n.logger).Log("msg", "versions missed", "after", next, "err", err)
-			n.sleep(ctx, batchDelay/2+rand.N(batchDelay/2))
-			return
-		}
-		if !n.callSucceeded(ctx, err, &b) {
-			continue
-		}
-		next = after
-		for _, e := range rejected {
-			_ = level.Warn(n.logger).Log("msg", "version refused", "err", e)
-		}
-		for _, v := range versions {
-			n.acceptVersion(v)
-		}
-		if len(versions)+len(rejected) > 0 {
-			n.sleep(ctx, batchDelay)
+		n.mu.Lock()
+		reads := n.versionReader.Reads(time.Now())
+		n.mu.Unlock()
+		if reads {
+			return true
 		}
+		n.sleep(ctx, readerTick)
+	}
+	return false
+}
+
+// readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
+func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
+	versions, after, rejected, err := n.protocols.configSource.Follow(ctx, *next, longPollWait)
+	if ctx.Err() != nil {
+		return true
+	}
+	if errors.Is(err, platform.ErrGap) {
+		_ = level.Info(n.logger).Log("msg", "versions missed", "after", *next, "err", err)
+		n.sleep(ctx, batchDelay/2+rand.N(batchDelay/2))
+		return false
+	}
+	if !n.callSucceeded(ctx, err, b) {
+		return true
+	}
+	*next = after
+	for _, e := range rejected {
+		_ = level.Warn(n.logger).Log("msg", "version refused", "err", e)
 	}
+	for _, v := range versions {
+		n.acceptVersion(v)
+	}
+	n.recordVersionsRead()
+	if len(versions)+len(rejected) > 0 {
+		n.sleep(ctx, batchDelay)
+	}
+	return true
+}
+
+// recordVersionsRead records that this node has applied an answer of the log service.
+func (n *Node) recordVersionsRead() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.versionReader.Answered(time.Now())
+}
+
+// tickReader asks a reader of the data centre to confirm that it reads, if that is due.
+func (n *Node) tickReader(_ context.Context, now time.Time) {
+	n.mu.Lock()
+	n.versionReader.SetCandidates(n.members.Readers())
+	name, due := n.versionReader.Ask(now)
+	to, known := n.members.Member(name)
+	msg := n.members.Heartbeat()
+	n.mu.Unlock()
+	switch {
+	case due && known:
+		n.spawn(func() { n.askReader(to, msg) })
+	case due:
+		n.recordConfirmation(now, false)
+	}
+}
+
+// askReader asks a node to confirm that it reads the published versions, and fetches a version that this node lacks.
+func (n *Node) askReader(to membership.Member, msg membership.Message) {
+	sentAt := time.Now()
+	heartbeat := membership.OutgoingHeartbeat{Name: to.Name, Address: to.Address, Message: msg}
+	resp, err := n.exchange(heartbeat, askTimeout, true)
+	n.recordConfirmation(sentAt, err == nil && resp.Confirmed)
+}
+
+func (n *Node) recordConfirmation(sentAt time.Time, confirmed bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.versionReader.Confirmed(sentAt, confirmed)
 }
 
 // callSucceeded records the result of a call to the log service; after a failed call it waits and returns false.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -29,6 +29,8 @@
 	Message   membership.Message
 	Positions []Position
 	Entries   []LogEntry
+	Confirm   bool // asks whether the receiver reads the published versions and knows the newest
+	Confirmed bool // answers a heartbeat with Confirm
 }
 
 // ShardHandover is a shard of idempotency keys, with its records, that is handed over to another node.
@@ -46,6 +48,8 @@
 		Buckets:     hb.Message.BucketSums,
 		Positions:   positionsProto(hb.Positions),
 		Entries:     entriesProto(hb.Entries),
+		Confirm:     hb.Confirm,
+		Confirmed:   hb.Confirmed,
 	}
 	for i := range hb.Message.Members {
 		h.Members = append(h.Members, memberProto(&hb.Message.Members[i]))
@@ -58,6 +62,8 @@
 		Stamp:     event.Stamp(h.GetStamp()),
 		Positions: positions(h.GetPositions()),
 		Entries:   logEntries(h.GetEntries()),
+		Confirm:   h.GetConfirm(),
+		Confirmed: h.GetConfirmed(),
 		Message: membership.Message{
 			Name:        h.GetName(),
 			Incarnation: h.GetIncarnation(),
