--- a/node/node.go
+++ b/node/node.go
@@ -107,7 +107,7 @@
 	n.rollout = rollout.New(cfg.DataCentre, cfg.trustedKeys())
 	if n.protocols.hasConfigSource() {
 		n.rollout.AcceptForwardedVersions()
-		n.versionReader = rollout.NewReader(now, cfg.Name, longPollWait)
+		n.versionReader = rollout.NewReader(now, cfg.Name, longPollWait, rand.New(rand.NewPCG(seed, 2)))
 	}
 	n.owners = ownership.New(now, ownershipNode(self), ownership.DisabledSafeguards{})
 	n.tailCaches = map[string]*platform.TailCache{rollout.Stream: {}, ownership.Stream: {}}
--- a/node/versions.go
+++ b/node/versions.go
@@ -17,7 +17,7 @@
 const (
 	longPollWait   = 2 * time.Second        // how long the log service waits for new records before it returns an empty page
 	askTimeout     = 300 * time.Millisecond // maximum time for a reader of the data centre to confirm that it reads
-	readerTick     = 50 * time.Millisecond  // interval between checks of whether this node is to read
+	readerTick     = 20 * time.Millisecond  // interval between checks of whether this node is to read
 	batchDelay     = 800 * time.Millisecond // wait after new records, so that versions published in quick succession are read together
 	initialBackoff = 200 * time.Millisecond // delay after the first failed call, before jitter
 	maxBackoff     = 2 * time.Second        // delay at most, before jitter
@@ -163,6 +163,7 @@
 	n.events.Add(event.Event{Kind: event.Bundle, Text: source})
 	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "result", rollout.Accepted, "source", source)
 	n.mu.Lock()
+	n.versionReader.VersionKnown()
 	neighbours := n.members.Neighbours()
 	msg := n.members.Heartbeat()
 	n.mu.Unlock()
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -11,8 +12,9 @@
 	confirmInterval = time.Second             // interval between requests while they are answered
 	retryInterval   = 100 * time.Millisecond  // interval between requests after one that got no confirmation
 	demandTime      = 3 * time.Second         // time for which a node reads because another node asked it for confirmation
-	leaderStart     = 700 * time.Millisecond  // time after the start until the first candidate begins to read
-	otherStart      = 2 * time.Second         // time after the start until other nodes begin to read without a confirmation
+	maxFirstDelay   = 300 * time.Millisecond  // maximum time after the start until a node without a version reads it
+	leaderStart     = 700 * time.Millisecond  // time after the start until the first candidate begins to follow
+	otherStart      = 2 * time.Second         // time after the start until other nodes begin to follow without a confirmation
 	returnTime      = 5 * time.Second         // time after which a node that relies on another candidate asks the first one again
 	answerMargin    = 700 * time.Millisecond  // time beyond the wait of a read after which its answer is overdue
 )
@@ -23,6 +25,8 @@
 type Reader struct {
 	self       string
 	startedAt  time.Time
+	firstRead  time.Time     // a node that got no version from another node reads from then on
+	known      bool          // a version is known
 	candidates []string      // nodes that read for the data centre, by preference
 	preferred  int           // index of the candidate that is asked next
 	wait       time.Duration // how long the log service may hold a read
@@ -35,11 +39,16 @@
 	asking      bool
 }
 
-// NewReader returns the reader of the named node; wait is how long the log service may hold a read without a new version.
-func NewReader(now time.Time, self string, wait time.Duration) *Reader {
-	return &Reader{self: self, startedAt: now, wait: wait}
+// NewReader returns the reader of the named node; wait is how long the log service may hold a read without a new version. A node
+// without a version waits a random part of maxFirstDelay for one from another node: when all start at once, the few that read first
+// serve the others.
+func NewReader(now time.Time, self string, wait time.Duration, rnd *rand.Rand) *Reader {
+	return &Reader{self: self, startedAt: now, firstRead: now.Add(time.Duration(rnd.Int64N(int64(maxFirstDelay)))), wait: wait}
 }
 
+// VersionKnown records that the node has a version.
+func (r *Reader) VersionKnown() { r.known = true }
+
 // SetCandidates sets the nodes that may read for the data centre, by preference.
 func (r *Reader) SetCandidates(names []string) {
 	if slices.Equal(names, r.candidates) {
@@ -51,6 +60,8 @@
 // Reads reports whether this node is to read the published versions now.
 func (r *Reader) Reads(now time.Time) bool {
 	switch age := now.Sub(r.startedAt); {
+	case !r.known:
+		return !now.Before(r.firstRead)
 	case now.Before(r.demandUntil):
 		return true
 	case r.first():
