--- a/node/members.go
+++ b/node/members.go
@@ -252,9 +252,10 @@
 // shareRetryReserve gives this node its share of the retry reserve of each service.
 func (n *Node) shareRetryReserve(live int) {
 	reservePerNode := n.Bundle().Policy().RetryReserve() / float64(max(1, live))
+	now := time.Now()
 	for _, svc := range *n.services.Load() {
 		svc.mu.Lock()
-		svc.retryBudget.SetReserve(reservePerNode, retryReserveWindow)
+		svc.retryBudget.SetReserve(now, reservePerNode, retryReserveWindow)
 		svc.mu.Unlock()
 	}
 }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -41,12 +41,12 @@
 		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
 		reserve := rapid.Float64Range(2, 20).Draw(t, "reserve")
 		var budget *retry.Budget
+		now := epoch
 		restart := func() {
 			budget = retry.NewBudget(ratio)
-			budget.SetReserve(reserve, window)
+			budget.SetReserve(now, reserve, window)
 		}
 		restart()
-		now := epoch
 		var events []event
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
@@ -81,9 +81,33 @@
 // one window.
 func TestRestartGivesNoRetries(t *testing.T) {
 	b := retry.NewBudget(0.2)
-	b.SetReserve(2.5, 10*time.Second)
+	b.SetReserve(epoch, 2.5, 10*time.Second)
 	b.RecordRequest(epoch)
 	if b.Take() {
 		t.Fatal("a new budget allows a retry")
 	}
 }
+
+// TestIdleFleetCanRetryItsFirstRequests checks that each node of a small reserve has a retry when traffic begins some seconds after the
+// start, and that ratio tokens are saved up for a burst of failures.
+func TestIdleFleetCanRetryItsFirstRequests(t *testing.T) {
+	const window = 10 * time.Second
+	b := retry.NewBudget(0.2)
+	b.SetReserve(epoch, 1.8, window)
+	now := epoch.Add(8 * time.Second)
+	b.RecordRequest(now)
+	if !b.Take() {
+		t.Fatal("no retry for the first request")
+	}
+	for range 200 {
+		now = now.Add(100 * time.Millisecond)
+		b.RecordRequest(now)
+	}
+	retries := 0
+	for b.Take() {
+		retries++
+	}
+	if want := 5; retries < want {
+		t.Fatalf("%d retries in a row after 200 requests in 20 s, want %d", retries, want)
+	}
+}
