Silence of requests in flight is evidence of an unhealthy upstream while they run

Change: outlier.Silence compares how likely the silence of each request is at a healthy and at an unhealthy upstream, by its age and the typical time of its class (a share of the objective until samples are there). The ratios of all in flight multiply; those that a single pause of the upstream explains count no more than such a pause. The ratio stands as long as the request is silent; it becomes part of the estimate when the request ends or a later one is answered. Overdue stays for slow responses.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -112,7 +112,7 @@
 func (d *dispatcher) hedgeDelay() time.Duration {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	typical := d.state.balancer.TypicalServiceTime(time.Now(), d.classIndex)
+	typical := d.state.balancer.TypicalServiceTime(time.Now(), d.classIndex, d.req.match.Class.Objective())
 	if typical == 0 {
 		return time.Until(d.req.deadline) / 2
 	}
@@ -143,7 +143,7 @@
 	d.state.mu.Lock()
 	query.AllowTrial = d.state.retryBudget.Available() && d.maxSentAttempts() > 1 && d.req.body.Replayable()
 	choice, err := d.state.balancer.Pick(now, query, d.state.random)
-	typical := d.state.balancer.TypicalServiceTime(now, d.classIndex)
+	typical := d.state.balancer.TypicalServiceTime(now, d.classIndex, query.Objective)
 	d.state.mu.Unlock()
 	if err != nil {
 		d.recordSummary(attemptSummary{upstreamID: "none", startDelay: now.Sub(d.req.startTime), result: err.Error()})
--- a/node/serve.go
+++ b/node/serve.go
@@ -77,7 +77,7 @@
 // It calls onPathLost if the upstream's node does not respond to a health query.
 func (n *Node) sendAttempt(ctx context.Context, state *serviceState, classIndex int, choice routing.Choice, attempt *upstream.Attempt, onPathLost func()) (*upstream.Response, error) {
 	startTime := time.Now()
-	stopWatching := n.watchAttempt(state, classIndex, choice, attempt.Class, onPathLost)
+	stopWatching := n.watchAttempt(state, classIndex, choice, attempt, onPathLost)
 	resp, err := n.deliver(ctx, choice, attempt)
 	stopWatching()
 	duration := time.Since(startTime)
@@ -156,15 +156,13 @@
 
 // watchAttempt starts a timer that queries the upstream's node if the attempt gets no response in time. The query tells
 // a hanging upstream from a lost path. The returned function stops the timer.
-func (n *Node) watchAttempt(state *serviceState, classIndex int, choice routing.Choice, className string, onPathLost func()) (stop func()) {
+func (n *Node) watchAttempt(state *serviceState, classIndex int, choice routing.Choice, attempt *upstream.Attempt, onPathLost func()) (stop func()) {
 	if choice.Node == n.cfg.Name {
 		return func() {}
 	}
-	state.mu.Lock()
-	delay := max(minHealthQueryDelay, healthQueryDelayFactor*state.balancer.TypicalServiceTime(time.Now(), classIndex))
-	state.mu.Unlock()
+	delay := max(minHealthQueryDelay, healthQueryDelayFactor*attempt.TypicalLatency)
 	timer := time.AfterFunc(delay, func() {
-		if n.queryHealth(state, classIndex, choice, className) != nil {
+		if n.queryHealth(state, classIndex, choice, attempt.Class) != nil {
 			onPathLost()
 		}
 	})
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -10,7 +10,7 @@
 	defaultMaxTokens  = 10              // maximum number of accumulated tokens if no reserve is set
 	firstRefillFactor = 3               // factor on the refill rate of the reserve until a new budget has its first token
 	saveTime          = 5 * time.Second // time for which tokens of requests may be saved up in addition to the reserve
-	reserveRatioShare = 0.75 // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
+	reserveRatioShare = 0.75            // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
 )
 
 // Budget limits retries to a ratio of the requests plus a fixed reserve in each window; the zero value allows none.
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -332,11 +332,12 @@
 	return logTimes[(len(logTimes)-1)/2]
 }
 
-// TypicalServiceTime returns the median service time of the class over the upstreams, or 0 if no upstream has enough samples.
-func (lb *Balancer) TypicalServiceTime(now time.Time, classIndex int) time.Duration {
+// TypicalServiceTime returns the median service time of the class over the upstreams, or a share of the objective of the class if no
+// upstream has enough samples; without an objective it is then 0.
+func (lb *Balancer) TypicalServiceTime(now time.Time, classIndex int, objective time.Duration) time.Duration {
 	medianLogMicros := lb.medianLogServiceTime(now, classIndex)
 	if medianLogMicros == 0 {
-		return 0
+		return time.Duration(defaultTimeRatio * float64(objective))
 	}
 	return time.Duration(math.Exp(medianLogMicros)) * time.Microsecond
 }
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -44,6 +44,7 @@
 		defer cancel()
 		return nil, dispatchError(ctx, err)
 	}
+	g.recordHead(id)
 	end := func(r result) {
 		g.finish(a, id, start, r)
 		cancel()
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -21,7 +21,7 @@
 	slowTimeoutRatio         = 3                      // multiple of the mean latency beyond which a timeout counts as a failure of the upstream
 	longTimeout              = 500 * time.Millisecond // duration beyond which a timeout always counts as a failure of the upstream
 	deadlineMargin           = 5 * time.Millisecond   // subtracted from the deadline, to leave time for forwarding the response
-	overdueRatio             = 4                      // multiple of the typical latency beyond which a request is overdue
+	overdueRatio             = 4                      // multiple of the typical latency beyond which a response is slow
 	trialSuspicion           = 0.3                    // suspicion from which an upstream gets only trial requests, which must be idempotent
 	trialInterval            = 800 * time.Millisecond // minimum interval between trial requests
 	trialDelayAfterSuccess   = 50 * time.Millisecond  // a successful request shortens the wait for the next trial request to this
@@ -68,7 +68,8 @@
 	samplers     []outlier.Sampler
 	inFlight     map[uint64]*inFlight
 	estimator    outlier.Estimator
-	lastOverdue  time.Time // time at which overdue requests last counted as evidence
+	lastOverdue  time.Time // time at which slow responses last counted as evidence
+	lastHeard    time.Time // time of the last response
 	nextTrial    time.Time // time before which an unhealthy upstream gets no further trial request
 	suspected    bool
 	controller   *admission.Controller
@@ -78,13 +79,6 @@
 	conns        pool
 }
 
-// inFlight is a request that was sent to the upstream and has not ended.
-type inFlight struct {
-	start          time.Time
-	typicalLatency time.Duration
-	overdue        bool
-}
-
 // NewGate returns the gate of an announced upstream that uses the given dialect.
 func NewGate(a Announcement, d Dialect, classes []admission.Class, now time.Time) *Gate {
 	g := &Gate{decisions: make(map[uint64]chan admission.Decision), inFlight: make(map[uint64]*inFlight), controller: admission.New(a.Slots, nil), dialect: d}
@@ -166,7 +160,7 @@
 }
 
 func (g *Gate) load(now time.Time, class string) Load {
-	l := Load{Load: g.controller.Load(now), Suspicion: g.estimator.Suspicion(now)}
+	l := Load{Load: g.controller.Load(now), Suspicion: g.suspicion(now)}
 	i, ok := g.classIndexes[class]
 	if !ok {
 		return l
@@ -187,29 +181,23 @@
 func (g *Gate) Suspect(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	suspicion := g.estimator.Suspicion(now)
+	suspicion := g.suspicion(now)
 	if suspicion > suspectAbove || suspicion < notSuspectBelow {
 		g.suspected = suspicion > suspectAbove
 	}
 	return g.suspected
 }
 
-// Tick rejects queued requests whose deadline has passed and records running ones that are overdue.
+// Tick rejects queued requests whose deadline has passed.
 func (g *Gate) Tick(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.deliver(g.controller.Tick(now))
-	for _, w := range g.inFlight {
-		if !w.overdue && w.typicalLatency > 0 && now.Sub(w.start) > overdueRatio*w.typicalLatency {
-			g.recordOverdue(now, w)
-		}
-	}
 }
 
-// recordOverdue records an overdue request as evidence against the upstream.
-// A request that started before the last such evidence is not counted, since one pause makes all running requests overdue.
+// recordOverdue records a slow response as evidence against the upstream.
+// A request that started before the last such evidence is not counted, since one pause makes all running requests slow.
 func (g *Gate) recordOverdue(now time.Time, w *inFlight) {
-	w.overdue = true
 	if w.start.Before(g.lastOverdue) {
 		return
 	}
@@ -296,7 +284,7 @@
 // allows reports whether the upstream is healthy enough for the attempt.
 // An upstream whose suspicion reaches trialSuspicion is sent only an occasional idempotent request as a trial.
 func (g *Gate) allows(now time.Time, a *Attempt) bool {
-	if a.Forced || g.estimator.Suspicion(now) < trialSuspicion {
+	if a.Forced || g.suspicion(now) < trialSuspicion {
 		return true
 	}
 	if a.NonIdempotent || now.Before(g.nextTrial) {
@@ -359,13 +347,14 @@
 	switch {
 	case r == broken:
 		g.addEvidence(now, outlier.Broken)
-	case w.overdue:
-		// was counted as overdue while it ran
 	case r == failed:
 		g.addEvidence(now, outlier.Error)
-	case slow && (r == succeeded || r == timedOut):
+	case r == timedOut || r == canceled:
+		g.recordSilence(now, w)
+	case r == succeeded && slow:
 		g.recordOverdue(now, w)
 	case r == succeeded:
+		g.recordOvertaken(now, w.start)
 		g.addEvidence(now, outlier.Success)
 	}
 }
