retry: hedges leave time for the second attempt and are tried again

Change: retry.Hedge decides when: late by three typical times (1.5 at a doubtful upstream), but with two typical times left; a hedge that can't start is tried again after 0.1 s, after five typical times also without free capacity; its token goes back to the budget.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -9,18 +9,17 @@
 
 	"github.com/jasminevane/jasminevane/outcome"
 	"github.com/jasminevane/jasminevane/peer"
+	"github.com/jasminevane/jasminevane/retry"
 	"github.com/jasminevane/jasminevane/routing"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
-// Limits of the attempts of one request and of the delays before hedged attempts and retries.
+// Limits of the attempts of one request.
 const (
-	maxOtherRegionAttempts = 1 // maximum number of attempts per request at upstreams in other regions
-	maxAttempts            = 5 // maximum number of attempts per request, including attempts that the upstream rejected
-	defaultMaxSentAttempts = 4 // maximum number of attempts per request that may reach an upstream, if the route sets no limit
-	hedgeDelayFactor       = 3 // ratio of the hedge delay to the typical service time
-	minHedgeDelay          = 60 * time.Millisecond
+	maxOtherRegionAttempts = 1           // maximum number of attempts per request at upstreams in other regions
+	maxAttempts            = 5           // maximum number of attempts per request, including attempts that the upstream rejected
+	defaultMaxSentAttempts = 4           // maximum number of attempts per request that may reach an upstream, if the route sets no limit
 	retryAfter             = time.Second // value of the Retry-After header if a request is rejected
 )
 
@@ -48,6 +47,7 @@
 	pathLost            chan struct{}        // receives a value if the node of a pending attempt's upstream stops responding
 	cancelFuncs         []context.CancelFunc // cancel functions of the attempts, in the same order as triedIDs
 	requestMayHaveRun   bool                 // whether an upstream may have executed the request
+	doubtful            bool                 // whether the first attempt went to an upstream that is likely unhealthy
 }
 
 // dispatchRequest sends the request to an upstream, with retries and hedged attempts. A returned error is an *outcome.Error.
@@ -68,10 +68,12 @@
 }
 
 func (d *dispatcher) runAttempts(ctx context.Context) (*upstream.Response, error) {
+	start := time.Now()
 	if err := d.launchAttempt(ctx, false); err != nil {
 		return nil, err
 	}
-	hedgeTimer := time.NewTimer(d.hedgeDelay())
+	hedge := retry.NewHedge(d.typicalLatency(), d.req.deadline.Sub(start), d.doubtful)
+	hedgeTimer := time.NewTimer(hedge.Next())
 	defer hedgeTimer.Stop()
 	for {
 		select {
@@ -88,19 +90,39 @@
 				return d.finish(res)
 			}
 		case <-hedgeTimer.C:
-			d.hedge(ctx, true)
+			if !d.canHedge() {
+				continue
+			}
+			if d.hedge(ctx, hedge.RequiresSpare()) {
+				hedge.Started()
+			} else {
+				hedge.Failed()
+			}
+			hedgeTimer.Reset(time.Until(start.Add(hedge.Next())))
 		case <-d.pathLost:
-			d.hedge(ctx, false)
+			if d.canHedge() {
+				d.hedge(ctx, false)
+			}
 		}
 	}
 }
 
-// hedge starts a hedged attempt if the request is idempotent and the retry budget allows it.
+// canHedge reports whether the request may be sent to another upstream while an attempt is pending.
+func (d *dispatcher) canHedge() bool {
+	return !d.req.nonIdempotent() && d.req.body.Replayable() && len(d.triedIDs) < maxAttempts && d.sentAttempts < d.maxSentAttempts()
+}
+
+// hedge starts a hedged attempt if the retry budget and the upstreams allow it, and reports whether it did.
 // If requireSpare is true, only upstreams with spare capacity are used.
-func (d *dispatcher) hedge(ctx context.Context, requireSpare bool) {
-	if !d.req.nonIdempotent() && d.req.body.Replayable() && len(d.triedIDs) < maxAttempts && d.sentAttempts < d.maxSentAttempts() && d.takeRetry() {
-		_ = d.launchAttempt(ctx, requireSpare) // if no attempt can be started, the earlier ones continue
+func (d *dispatcher) hedge(ctx context.Context, requireSpare bool) bool {
+	if !d.takeRetry() {
+		return false
 	}
+	if d.launchAttempt(ctx, requireSpare) != nil {
+		d.returnRetry()
+		return false
+	}
+	return true
 }
 
 func (d *dispatcher) recordSummary(summary attemptSummary) {
@@ -109,14 +131,18 @@
 	}
 }
 
-func (d *dispatcher) hedgeDelay() time.Duration {
+// typicalLatency returns the median service time of the class over the upstreams of the service.
+func (d *dispatcher) typicalLatency() time.Duration {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	typical := d.state.balancer.TypicalServiceTime(time.Now(), d.classIndex, d.req.match.Class.Objective())
-	if typical == 0 {
-		return time.Until(d.req.deadline) / 2
-	}
-	return max(minHedgeDelay, hedgeDelayFactor*typical)
+	return d.state.balancer.TypicalServiceTime(time.Now(), d.classIndex, d.req.match.Class.Objective())
+}
+
+// returnRetry gives a retry that was not sent back to the retry budget.
+func (d *dispatcher) returnRetry() {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	d.state.retryBudget.Return()
 }
 
 // takeRetry takes one retry from the retry budget and reports whether the budget allowed it.
@@ -149,6 +175,7 @@
 		d.recordSummary(attemptSummary{upstreamID: "none", startDelay: now.Sub(d.req.startTime), result: err.Error()})
 		return noUpstreamError(err)
 	}
+	d.doubtful = d.doubtful || len(d.triedIDs) == 0 && (choice.Trial || choice.Forced)
 	d.triedIDs = append(d.triedIDs, choice.ID)
 	d.sentAttempts++
 	if choice.Tier == routing.OtherRegion {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -91,3 +91,6 @@
 	b.tokens--
 	return true
 }
+
+// Return gives back the token of a retry that was not sent.
+func (b *Budget) Return() { b.tokens++ }
