retry: the budget counts requests and retries of a sliding window

Change: what requests allow is their number in the last 10 s times the share of the ratio, less the retries of that time; the reserve stays a bucket. A burst may use the whole window's share, and no more.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -142,14 +142,14 @@
 func (d *dispatcher) returnRetry() {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	d.state.retryBudget.Return()
+	d.state.retryBudget.Return(time.Now())
 }
 
 // takeRetry takes one retry from the retry budget and reports whether the budget allowed it.
 func (d *dispatcher) takeRetry() bool {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	return d.state.retryBudget.Take()
+	return d.state.retryBudget.Take(time.Now())
 }
 
 // launchAttempt starts an attempt at an upstream that this request has not tried yet.
@@ -167,7 +167,7 @@
 		Objective:           d.req.match.Class.Objective(),
 	}
 	d.state.mu.Lock()
-	query.AllowTrial = d.state.retryBudget.Available() && d.maxSentAttempts() > 1 && d.req.body.Replayable()
+	query.AllowTrial = d.state.retryBudget.Available(now) && d.maxSentAttempts() > 1 && d.req.body.Replayable()
 	choice, err := d.state.balancer.Pick(now, query, d.state.random)
 	typical := d.state.balancer.TypicalServiceTime(now, d.classIndex, query.Objective)
 	d.state.mu.Unlock()
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,34 +1,31 @@
 package retry
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
-// Parameters of the budget; one token allows one retry.
+// Parameters of the budget.
 const (
-	defaultMaxTokens  = 10              // maximum number of accumulated tokens if no reserve is set
-	firstRefillFactor = 3               // factor on the refill rate of the reserve until a new budget has its first token
-	saveTime          = 5 * time.Second // time for which tokens of requests may be saved up in addition to the reserve
-	reserveRatioShare = 0.75            // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
+	reserveRatioShare = 0.75             // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
+	firstRefillFactor = 3                // factor on the refill rate of the reserve until a new budget has its first token
+	ratioWindow       = 10 * time.Second // time over which requests allow retries
 )
 
 // Budget limits retries to a ratio of the requests plus a fixed reserve in each window; the zero value allows none.
 // A new budget is empty, so that a restart of the process grants no extra retries.
 type Budget struct {
 	ratio      float64
-	tokens     float64
-	maxTokens  float64 // maximum number of accumulated tokens; 0 means defaultMaxTokens
-	refillRate float64 // tokens per second that accrue in addition to those for requests
+	requests   windowSum // requests of the last ratioWindow
+	spent      windowSum // retries that the requests of that time allowed
+	tokens     float64   // retries that the reserve allows now
+	maxTokens  float64   // maximum number of accumulated tokens; 0 if there is no reserve
+	refillRate float64   // tokens per second
 	refilledAt time.Time
-	started    bool    // there has been a token
-	rate       float64 // requests per second, a moving average over saveTime
+	started    bool // there has been a token
 }
 
-// NewBudget returns an empty budget to which each request adds ratio tokens; one token allows one retry.
+// NewBudget returns an empty budget that allows ratio retries for each request.
 func NewBudget(ratio float64) *Budget { return &Budget{ratio: ratio} }
 
-// SetRatio changes the number of tokens that each request adds.
+// SetRatio changes the number of retries that each request allows.
 func (b *Budget) SetRatio(ratio float64) { b.ratio = ratio }
 
 // SetReserve allows n retries in each window in addition to those that requests allow. At most half of n tokens, but at least one,
@@ -42,55 +39,47 @@
 	}
 }
 
-// RecordRequest adds the tokens for one request; it is called for the first attempt only.
-func (b *Budget) RecordRequest(now time.Time) {
-	b.refill(now)
-	b.rate += 1 / saveTime.Seconds()
-	b.add(b.tokensPerRequest())
-}
-
-// tokensPerRequest returns the number of tokens that one request adds.
-func (b *Budget) tokensPerRequest() float64 {
-	if b.maxTokens > 0 {
-		return b.ratio * reserveRatioShare
-	}
-	return b.ratio
-}
+// RecordRequest counts a request; it is called for the first attempt only.
+func (b *Budget) RecordRequest(now time.Time) { b.requests.add(now, 1) }
 
 // refill adds the tokens that accrued since the last call.
 func (b *Budget) refill(now time.Time) {
 	if !b.refilledAt.IsZero() {
 		elapsed := max(0, now.Sub(b.refilledAt).Seconds())
-		b.rate *= math.Exp(-elapsed / saveTime.Seconds())
 		if !b.started {
 			elapsed *= firstRefillFactor
 		}
-		b.add(b.refillRate * elapsed)
+		b.tokens = min(b.maxTokens, b.tokens+b.refillRate*elapsed)
 		b.started = b.started || b.tokens >= 1
 	}
 	b.refilledAt = now
 }
 
-// add adds tokens up to the maximum.
-func (b *Budget) add(tokens float64) {
-	maxTokens := float64(defaultMaxTokens)
+// unspent returns the number of retries that the requests of the last window allow and that were not sent yet.
+func (b *Budget) unspent(now time.Time) float64 {
+	ratio := b.ratio
 	if b.maxTokens > 0 {
-		maxTokens = b.maxTokens + b.tokensPerRequest()*b.rate*saveTime.Seconds()
+		ratio *= reserveRatioShare
 	}
-	b.tokens = min(max(maxTokens, b.tokens), b.tokens+tokens)
+	return max(0, ratio*b.requests.sum(now)-b.spent.sum(now))
 }
 
-// Available reports whether a retry is allowed, without spending a token.
-func (b *Budget) Available() bool { return b.tokens >= 1 }
+// Available reports whether a retry is allowed, without spending it.
+func (b *Budget) Available(now time.Time) bool {
+	b.refill(now)
+	return b.unspent(now)+b.tokens >= 1
+}
 
-// Take reports whether a retry is allowed and, if so, spends a token.
-func (b *Budget) Take() bool {
-	if b.tokens < 1 {
+// Take reports whether a retry is allowed and, if so, spends it.
+func (b *Budget) Take(now time.Time) bool {
+	if !b.Available(now) {
 		return false
 	}
-	b.tokens--
+	fromRequests := min(1, b.unspent(now))
+	b.spent.add(now, fromRequests)
+	b.tokens -= 1 - fromRequests
 	return true
 }
 
-// Return gives back the token of a retry that was not sent.
-func (b *Budget) Return() { b.tokens++ }
+// Return gives back a retry that was not sent.
+func (b *Budget) Return(now time.Time) { b.spent.add(now, -1) }
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -19,7 +19,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				budget.RecordRequest(epoch)
 				requests++
-			} else if budget.Take() {
+			} else if budget.Take(epoch) {
 				retries++
 			}
 			if float64(retries) > ratio*float64(requests)+1e-6 {
@@ -56,7 +56,7 @@
 			case action < 10:
 				budget.RecordRequest(now)
 				events = append(events, event{now, true})
-			case budget.Take():
+			case budget.Take(now):
 				events = append(events, event{now, false})
 				requests, retries := 0, 0
 				for _, e := range events {
@@ -83,7 +83,7 @@
 	b := retry.NewBudget(0.2)
 	b.SetReserve(epoch, 2.5, 10*time.Second)
 	b.RecordRequest(epoch)
-	if b.Take() {
+	if b.Take(epoch) {
 		t.Fatal("a new budget allows a retry")
 	}
 }
@@ -96,18 +96,53 @@
 	b.SetReserve(epoch, 1.8, window)
 	now := epoch.Add(8 * time.Second)
 	b.RecordRequest(now)
-	if !b.Take() {
+	if !b.Take(now) {
 		t.Fatal("no retry for the first request")
 	}
-	for range 200 {
-		now = now.Add(100 * time.Millisecond)
+	const requests = 100
+	for range requests {
+		now = now.Add(window / requests)
 		b.RecordRequest(now)
 	}
 	retries := 0
-	for b.Take() {
+	for b.Take(now) {
 		retries++
 	}
-	if want := 5; retries < want {
-		t.Fatalf("%d retries in a row after 200 requests in 20 s, want %d", retries, want)
+	if want := 15; retries < want || retries > 20 {
+		t.Fatalf("%d retries in a row after %d requests in a window, want %d to 20", retries, requests, want)
+	}
+}
+
+// TestSavedRetriesStayWithinEachWindow has requests come steadily and fail all at once after a time without failures, and checks the
+// limit in each window: what was saved before a window must not add to what the requests in it allow.
+func TestSavedRetriesStayWithinEachWindow(t *testing.T) {
+	const window, ratio, reserve = 10 * time.Second, 0.2, 2.0
+	b := retry.NewBudget(ratio)
+	b.SetReserve(epoch, reserve, window)
+	var requests, retries []time.Time
+	now := epoch
+	for i := range 6000 {
+		now = now.Add(10 * time.Millisecond)
+		if i%10 == 0 {
+			b.RecordRequest(now)
+			requests = append(requests, now)
+		}
+		if i >= 3000 && b.Take(now) {
+			retries = append(retries, now)
+		}
+	}
+	within := func(times []time.Time, end time.Time) float64 {
+		count := 0
+		for _, at := range times {
+			if at.After(end.Add(-window)) && !at.After(end) {
+				count++
+			}
+		}
+		return float64(count)
+	}
+	for _, end := range retries {
+		if allowed := ratio*within(requests, end) + reserve; within(retries, end) > allowed {
+			t.Fatalf("%v retries in the window that ends at %v, allowed %v", within(retries, end), end.Sub(epoch), allowed)
+		}
 	}
 }
