Gates and readers tick only when there is something to do

Cause: 354 idle nodes woke some 180 times a second each: gates every 20 ms, the check of who reads every 20 ms twice. Change: a gate ticks while requests are queued; the reader's check comes every 0.1 s, every 20 ms only as long as the node has no version.

--- a/node/versions.go
+++ b/node/versions.go
@@ -17,7 +17,8 @@
 const (
 	longPollWait   = 2 * time.Second        // how long the log service waits for new records before it returns an empty page
 	askTimeout     = 300 * time.Millisecond // maximum time for a reader of the data centre to confirm that it reads
-	readerTick     = 20 * time.Millisecond  // interval between checks of whether this node is to read
+	readerTick     = 100 * time.Millisecond // interval between checks of whether this node is to read
+	firstTick      = 20 * time.Millisecond  // the same as long as the node has no version
 	batchDelay     = 800 * time.Millisecond // wait after new records, so that versions published in quick succession are read together
 	initialBackoff = 200 * time.Millisecond // delay after the first failed call, before jitter
 	maxBackoff     = 2 * time.Second        // delay at most, before jitter
@@ -66,11 +67,19 @@
 		if reads {
 			return true
 		}
-		n.sleep(ctx, readerTick)
+		n.sleep(ctx, n.readerInterval())
 	}
 	return false
 }
 
+// readerInterval returns the interval between checks of whether this node is to read.
+func (n *Node) readerInterval() time.Duration {
+	if n.Bundle().Len() == 0 {
+		return firstTick
+	}
+	return readerTick
+}
+
 // readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
 func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
 	versions, after, rejected, err := n.protocols.configSource.Follow(ctx, *next, longPollWait)
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -17,7 +17,7 @@
 // Parameters of a gate.
 const (
 	maxBufferedResponseBytes = 64 << 10               // a smaller response is read into memory before it is forwarded
-	tickInterval             = 20 * time.Millisecond  // interval at which queued and running requests are checked against time limits
+	tickInterval             = 20 * time.Millisecond  // interval at which queued requests are checked against time limits
 	slowTimeoutRatio         = 3                      // multiple of the mean latency beyond which a timeout counts as a failure of the upstream
 	longTimeout              = 500 * time.Millisecond // duration beyond which a timeout always counts as a failure of the upstream
 	deadlineMargin           = 5 * time.Millisecond   // subtracted from the deadline, to leave time for forwarding the response
@@ -75,13 +75,14 @@
 	controller   *admission.Controller
 	decisions    map[uint64]chan admission.Decision // receives the admission decision of each waiting request, by id
 	nextID       uint64
+	queued       chan struct{} // receives a value when a request is queued
 	dialect      Dialect
 	conns        pool
 }
 
 // NewGate returns the gate of an announced upstream that uses the given dialect.
 func NewGate(a Announcement, d Dialect, classes []admission.Class, now time.Time) *Gate {
-	g := &Gate{decisions: make(map[uint64]chan admission.Decision), inFlight: make(map[uint64]*inFlight), controller: admission.New(a.Slots, nil), dialect: d}
+	g := &Gate{decisions: make(map[uint64]chan admission.Decision), inFlight: make(map[uint64]*inFlight), controller: admission.New(a.Slots, nil), queued: make(chan struct{}, 1), dialect: d}
 	g.announcement = a
 	g.SetClasses(classes)
 	g.Renew(a, now)
@@ -223,12 +224,24 @@
 	return a
 }
 
-// Run calls Tick at an interval until ctx is done, then closes the idle connections.
+// Run calls Tick at an interval while requests are queued, until ctx is done, then closes the idle connections.
 func (g *Gate) Run(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
 	defer g.conns.close()
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.queued:
+		}
+		g.tickWhileQueued(ctx)
+	}
+}
+
+// tickWhileQueued calls Tick at an interval until no request is queued or ctx is done.
+func (g *Gate) tickWhileQueued(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for g.Load("").Load.Queued > 0 {
 		select {
 		case <-ctx.Done():
 			return
@@ -238,6 +251,17 @@
 	}
 }
 
+// signalQueued wakes Run if requests are queued.
+func (g *Gate) signalQueued(now time.Time) {
+	if g.controller.Load(now).Queued == 0 {
+		return
+	}
+	select {
+	case g.queued <- struct{}{}:
+	default: // Run has been woken already
+	}
+}
+
 func (g *Gate) deliver(toDeliver []admission.Decision) {
 	for _, v := range toDeliver {
 		if ch := g.decisions[v.ID]; ch != nil {
@@ -271,7 +295,9 @@
 	g.nextID++
 	id := g.nextID
 	g.decisions[id] = ch
-	g.deliver(g.controller.Offer(time.Now(), admission.Request{ID: id, ClassIndex: class, Deadline: a.Deadline.Add(-deadlineMargin)}))
+	now := time.Now()
+	g.deliver(g.controller.Offer(now, admission.Request{ID: id, ClassIndex: class, Deadline: a.Deadline.Add(-deadlineMargin)}))
+	g.signalQueued(now)
 	g.mu.Unlock()
 	select {
 	case v := <-ch:
