upstream: heads without end are cut off, and bodies without end count against the upstream

Change: a connection reads at most 64 KiB while it waits for the head of a response, informational ones included; a body that still comes when the deadline passes counts as a failure of the upstream.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -25,6 +25,7 @@
 	readBufferSize           = 4 << 10                // size in bytes of a connection's read buffer
 	maxBufferedBodyBytes     = 64 << 10               // maximum request body sent in one write; others are sent while the response is awaited
 	maxInformational         = 8                      // informational (1xx) responses accepted before the final one
+	maxHeadBytes             = 64 << 10               // maximum size of the heads of a response, informational ones included
 	maxIdleConns             = 32                     // maximum number of idle connections to one upstream
 	deadlineSlack            = 50 * time.Millisecond  // added to the deadline of reads and writes, so that the context expires first
 	keepAliveTimeoutPrefix   = "timeout="             // precedes the idle timeout in a Keep-Alive header
@@ -39,7 +40,8 @@
 // conn is a connection that carries one request at a time.
 type conn struct {
 	net.Conn
-	reader   *bufio.Reader
+	limit    *headLimiter
+	reader   *bufio.Reader // reads through limit
 	lastUsed time.Time
 	maxIdle  time.Duration // idle time after which the upstream may close the connection
 }
@@ -69,7 +71,32 @@
 	if err != nil {
 		return nil, &dialError{err}
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBufferSize), maxIdle: idleTimeout}, nil
+	limit := &headLimiter{r: nc}
+	return &conn{Conn: nc, limit: limit, reader: bufio.NewReaderSize(limit, readBufferSize), maxIdle: idleTimeout}, nil
+}
+
+// errHeadTooLong reports a response whose head exceeds maxHeadBytes.
+var errHeadTooLong = errors.Errorf("head of the response exceeds %d bytes", maxHeadBytes)
+
+// headLimiter limits the bytes that are read while the head of a response is awaited: an upstream may send bytes without end, and
+// net/http keeps a head of any size in memory. Bodies are streamed and need no limit.
+type headLimiter struct {
+	r       io.Reader
+	limited bool
+	left    int // bytes that may still be read, if limited
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 func (p *pool) pop() *conn {
@@ -175,6 +202,8 @@
 }
 
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
+	x.conn.limit.limited, x.conn.limit.left = true, maxHeadBytes
+	defer func() { x.conn.limit.limited = false }()
 	for range maxInformational {
 		resp, err := http.ReadResponse(x.conn.reader, req)
 		if err != nil {
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -53,11 +53,20 @@
 		err = io.ErrUnexpectedEOF
 		s.once.Do(func() { s.onEnd(broken) })
 	default:
-		s.once.Do(func() { s.onEnd(classifyContext(s.ctx)) })
+		s.once.Do(func() { s.onEnd(s.classifyFailure()) })
 	}
 	return n, err
 }
 
+// classifyFailure returns the result of a body that failed before its end. One that is still coming when the deadline passes is a
+// failure of the upstream: it may never end.
+func (s *stream) classifyFailure() result {
+	if r := classifyContext(s.ctx); r != timedOut {
+		return r
+	}
+	return failed
+}
+
 // Close implements io.Closer.
 func (s *stream) Close() error {
 	s.once.Do(func() { s.onEnd(canceled) })
