upstream: shed requests count as failures of their class, not against the upstream's health

Change: a shed request counts in the failure rate of its class, by which routing prefers peers; the suspicion stays, so that unsafe work is not kept away.

--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -360,7 +360,7 @@
 		return
 	}
 	latency := now.Sub(start)
-	countsAsFailure := r == failed || r == broken || r == timedOut && (latency > longTimeout || latency > slowTimeoutRatio*g.samplers[i].MeanServiceTime())
+	countsAsFailure := r == failed || r == broken || r == shed || r == timedOut && (latency > longTimeout || latency > slowTimeoutRatio*g.samplers[i].MeanServiceTime())
 	if r != succeeded && !countsAsFailure {
 		return
 	}
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 )
@@ -49,3 +50,26 @@
 	is.True(time.Since(start) < 2*time.Second) // trials found the upstream healthy
 	is.NoErr(send(100, true))
 }
+
+// TestShedRequestsCountAsFailuresOfTheClass checks that an upstream which refuses requests although its slots are free reports failures,
+// by which other nodes prefer its peers, and that its health is not in doubt: it may still be given work that must not run twice.
+func TestShedRequestsCountAsFailuresOfTheClass(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set(upstream.DefaultDialect().NotRunHeader, "full")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	g := newGate(t, srv.Listener.Addr().String(), 4)
+	before := g.Load("c").Suspicion
+	for i := range 5 {
+		_, err := g.Do(context.Background(), attempt(i, true))
+		var e *outcome.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Outcome, outcome.NotRun)
+	}
+	load := g.Load("c")
+	is.True(load.ClassReport.FailureRate() > 0.9)
+	is.True(load.Suspicion <= before)
+}
