node: hedges that can't start leave no step in the log; glossary

Cause: a hedge is tried every 0.1 s since the last change; each failed try was a step of the request's log line. Change: a step without an upstream is recorded only if no attempt is pending.

--- a/membership/engine.go
+++ b/membership/engine.go
@@ -433,8 +433,8 @@
 		e.requestRefutation(now, m, resp)
 	}
 	e.merge(now, resp.Members, resp.Name)
-	if m := e.index.byName[resp.Name]; m != nil && resp.Digest != e.digest() {
-		m.nextHeartbeat = earlier(m.nextHeartbeat, now.Add(settleTime)) // compare the views again soon
+	if m := e.index.byName[resp.Name]; m != nil && resp.Digest != e.digest() && m.nextHeartbeat.After(now.Add(settleTime)) {
+		m.nextHeartbeat = now.Add(settleTime) // compare the views again soon
 	}
 	if len(resp.BucketSums) != bucketCount || now.Sub(e.lastSync) < syncInterval || resp.Digest == e.digest() {
 		return
@@ -456,10 +456,3 @@
 	e.lastSync = now
 	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Name: m.Name, Address: m.Address, Message: msg})
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -172,7 +172,9 @@
 	typical := d.state.balancer.TypicalServiceTime(now, d.classIndex, query.Objective)
 	d.state.mu.Unlock()
 	if err != nil {
-		d.recordSummary(attemptSummary{upstreamID: "none", startDelay: now.Sub(d.req.startTime), result: err.Error()})
+		if d.pendingAttempts == 0 { // a hedge is tried again and again; only what the caller is told is recorded
+			d.recordSummary(attemptSummary{upstreamID: "none", startDelay: now.Sub(d.req.startTime), result: err.Error()})
+		}
 		return noUpstreamError(err)
 	}
 	d.doubtful = d.doubtful || len(d.triedIDs) == 0 && (choice.Trial || choice.Forced)
--- a/outlier/estimator.go
+++ b/outlier/estimator.go
@@ -13,7 +13,7 @@
 	Success Evidence = iota
 	Error            // a complete response that reports a failure of the upstream
 	Broken           // a broken connection, or a response that was truncated or belongs to another request
-	Overdue          // a request that ran far longer than the typical service time of its class
+	Overdue          // a response that took far longer than the typical service time of its class
 	evidenceCount
 )
 
