--- a/node/run.go
+++ b/node/run.go
@@ -168,7 +168,7 @@
 	n.members.SetStatus(leaveTime, membership.Leaving)
 	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams())
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Limits.Drain.Std())
+	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout())
 	defer cancel()
 	n.sleep(ctx, n.cfg.Limits.LameDuck.Std())
 	_ = servers.caller.Shutdown(ctx)
--- a/node/settings.go
+++ b/node/settings.go
@@ -70,7 +70,8 @@
 	ResponseBytes setting.Size     `toml:"answers"`
 	Events        int              `toml:"events"`
 	Drain         setting.Duration `toml:"drain"`
-	LameDuck      setting.Duration `toml:"lame"` // how long a draining node still accepts requests
+	Grace         setting.Duration `toml:"grace"` // time from the signal to stop until the process is killed; 0 if it isn't
+	LameDuck      setting.Duration `toml:"lame"`  // how long a draining node still accepts requests
 	HeaderTimeout setting.Duration `toml:"header_timeout"`
 }
 
@@ -118,6 +119,17 @@
 	}
 }
 
+// drainShareOfGrace is the share of the grace time that a draining node uses; the rest is for closing connections and ending the process.
+const drainShareOfGrace = 13.0 / 15
+
+// DrainTimeout returns the maximum time for the requests of a stopping node to end.
+func (s *Settings) DrainTimeout() time.Duration {
+	if s.Limits.Grace <= 0 {
+		return s.Limits.Drain.Std()
+	}
+	return min(s.Limits.Drain.Std(), time.Duration(drainShareOfGrace*float64(s.Limits.Grace)))
+}
+
 // LoadSettings reads and checks the settings in file; the error is a *setting.Error if the content is invalid.
 func LoadSettings(file string) (Settings, error) {
 	s := DefaultSettings()
