--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -115,11 +115,12 @@
 // hedge starts a hedged attempt if the retry budget and the upstreams allow it, and reports whether it did.
 // If requireSpare is true, only upstreams with spare capacity are used.
 func (d *dispatcher) hedge(ctx context.Context, requireSpare bool) bool {
-	if !d.takeRetry() {
+	grant, ok := d.takeRetry()
+	if !ok {
 		return false
 	}
 	if d.launchAttempt(ctx, requireSpare) != nil {
-		d.returnRetry()
+		d.returnRetry(grant)
 		return false
 	}
 	return true
@@ -139,14 +140,14 @@
 }
 
 // returnRetry gives a retry that was not sent back to the retry budget.
-func (d *dispatcher) returnRetry() {
+func (d *dispatcher) returnRetry(grant retry.Grant) {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
-	d.state.retryBudget.Return(time.Now())
+	d.state.retryBudget.Return(grant)
 }
 
 // takeRetry takes one retry from the retry budget and reports whether the budget allowed it.
-func (d *dispatcher) takeRetry() bool {
+func (d *dispatcher) takeRetry() (retry.Grant, bool) {
 	d.state.mu.Lock()
 	defer d.state.mu.Unlock()
 	return d.state.retryBudget.Take(time.Now())
@@ -247,7 +248,8 @@
 		return false
 	}
 	if notRun(res.err) || !d.req.nonIdempotent() {
-		return d.takeRetry()
+		_, ok := d.takeRetry()
+		return ok
 	}
 	return false
 }
--- a/node/settings.go
+++ b/node/settings.go
@@ -54,7 +54,7 @@
 // contains none. With the default protocols, the bundle contains the policy.
 type retrySettings struct {
 	Ratio   float64 `toml:"ratio"`   // retries allowed per request
-	Reserve float64 `toml:"reserve"` // retries per service and retryReserveWindow that the fleet may send in addition to Ratio
+	Reserve float64 `toml:"reserve"` // retries per service and window of the budget that the fleet may send in addition to Ratio
 	Floor   float64 `toml:"floor"`   // minimum share of upstreams that ejection leaves in service
 }
 
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -8,9 +8,6 @@
 	"github.com/jasminevane/jasminevane/routing"
 )
 
-// retryReserveWindow is the time over which a retry reserve may be spent.
-const retryReserveWindow = 10 * time.Second
-
 // upstreamUpdate holds the changes of upstreams by service.
 type upstreamUpdate map[string]*serviceUpdate
 
@@ -78,7 +75,7 @@
 	now := time.Now()
 	for _, svc := range *n.services.Load() {
 		svc.mu.Lock()
-		svc.retryBudget.SetReserve(now, reservePerNode, retryReserveWindow)
+		svc.retryBudget.SetReserve(now, reservePerNode)
 		svc.mu.Unlock()
 	}
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -6,15 +6,15 @@
 const (
 	reserveRatioShare = 0.75             // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
 	firstRefillFactor = 3                // factor on the refill rate of the reserve until a new budget has its first token
-	ratioWindow       = 10 * time.Second // time over which requests allow retries
+	window            = 10 * time.Second // time over which requests and the reserve allow retries
 )
 
 // Budget limits retries to a ratio of the requests plus a fixed reserve in each window; the zero value allows none.
 // A new budget is empty, so that a restart of the process grants no extra retries.
 type Budget struct {
 	ratio      float64
-	requests   windowSum // requests of the last ratioWindow
-	spent      windowSum // retries that the requests of that time allowed
+	requests   windowSum // requests of the last window
+	spent      windowSum // retries of that time that the requests allowed
 	tokens     float64   // retries that the reserve allows now
 	maxTokens  float64   // maximum number of accumulated tokens; 0 if there is no reserve
 	refillRate float64   // tokens per second
@@ -30,7 +30,7 @@
 
 // SetReserve allows n retries in each window in addition to those that requests allow. At most half of n tokens, but at least one,
 // may accumulate; the rest of n is the number of tokens that accrue over one window.
-func (b *Budget) SetReserve(now time.Time, n float64, window time.Duration) {
+func (b *Budget) SetReserve(now time.Time, n float64) {
 	b.refill(now)
 	b.maxTokens, b.refillRate = 0, 0
 	if n > 0 {
@@ -40,7 +40,7 @@
 }
 
 // RecordRequest counts a request; it is called for the first attempt only.
-func (b *Budget) RecordRequest(now time.Time) { b.requests.add(now, 1) }
+func (b *Budget) RecordRequest(now time.Time) { b.requests.add(now, window, 1) }
 
 // refill adds the tokens that accrued since the last call.
 func (b *Budget) refill(now time.Time) {
@@ -61,7 +61,7 @@
 	if b.maxTokens > 0 {
 		ratio *= reserveRatioShare
 	}
-	return max(0, ratio*b.requests.sum(now)-b.spent.sum(now))
+	return max(0, ratio*b.requests.sum(now, window)-b.spent.sum(now, window))
 }
 
 // Available reports whether a retry is allowed, without spending it.
@@ -70,16 +70,25 @@
 	return b.unspent(now)+b.tokens >= 1
 }
 
-// Take reports whether a retry is allowed and, if so, spends it.
-func (b *Budget) Take(now time.Time) bool {
+// Grant is the right to send one retry.
+type Grant struct {
+	at           time.Time
+	fromRequests float64 // part of the retry that requests allowed; the rest came from the reserve
+}
+
+// Take grants a retry; ok is false if the budget allows none.
+func (b *Budget) Take(now time.Time) (g Grant, ok bool) {
 	if !b.Available(now) {
-		return false
+		return Grant{}, false
 	}
-	fromRequests := min(1, b.unspent(now))
-	b.spent.add(now, fromRequests)
-	b.tokens -= 1 - fromRequests
-	return true
+	g = Grant{at: now, fromRequests: min(1, b.unspent(now))}
+	b.spent.add(now, window, g.fromRequests)
+	b.tokens -= 1 - g.fromRequests
+	return g, true
 }
 
-// Return gives back a retry that was not sent.
-func (b *Budget) Return(now time.Time) { b.spent.add(now, -1) }
+// Return gives back a grant whose retry was not sent, to where it came from.
+func (b *Budget) Return(g Grant) {
+	b.spent.add(g.at, window, -g.fromRequests)
+	b.tokens = min(b.maxTokens, b.tokens+1-g.fromRequests)
+}
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -10,6 +10,12 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
+// take reports whether the budget grants a retry.
+func take(b *retry.Budget, now time.Time) bool {
+	_, ok := b.Take(now)
+	return ok
+}
+
 func TestRetriesStayWithinTheRatio(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
@@ -19,7 +25,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				budget.RecordRequest(epoch)
 				requests++
-			} else if budget.Take(epoch) {
+			} else if take(budget, epoch) {
 				retries++
 			}
 			if float64(retries) > ratio*float64(requests)+1e-6 {
@@ -44,7 +50,7 @@
 		now := epoch
 		restart := func() {
 			budget = retry.NewBudget(ratio)
-			budget.SetReserve(now, reserve, window)
+			budget.SetReserve(now, reserve)
 		}
 		restart()
 		var events []event
@@ -56,7 +62,7 @@
 			case action < 10:
 				budget.RecordRequest(now)
 				events = append(events, event{now, true})
-			case budget.Take(now):
+			case take(budget, now):
 				events = append(events, event{now, false})
 				requests, retries := 0, 0
 				for _, e := range events {
@@ -81,9 +87,9 @@
 // one window.
 func TestRestartGivesNoRetries(t *testing.T) {
 	b := retry.NewBudget(0.2)
-	b.SetReserve(epoch, 2.5, 10*time.Second)
+	b.SetReserve(epoch, 2.5)
 	b.RecordRequest(epoch)
-	if b.Take(epoch) {
+	if take(b, epoch) {
 		t.Fatal("a new budget allows a retry")
 	}
 }
@@ -93,10 +99,10 @@
 func TestIdleFleetCanRetryItsFirstRequests(t *testing.T) {
 	const window = 10 * time.Second
 	b := retry.NewBudget(0.2)
-	b.SetReserve(epoch, 1.8, window)
+	b.SetReserve(epoch, 1.8)
 	now := epoch.Add(8 * time.Second)
 	b.RecordRequest(now)
-	if !b.Take(now) {
+	if !take(b, now) {
 		t.Fatal("no retry for the first request")
 	}
 	const requests = 100
@@ -105,7 +111,7 @@
 		b.RecordRequest(now)
 	}
 	retries := 0
-	for b.Take(now) {
+	for take(b, now) {
 		retries++
 	}
 	if want := 15; retries < want || retries > 20 {
@@ -118,7 +124,7 @@
 func TestSavedRetriesStayWithinEachWindow(t *testing.T) {
 	const window, ratio, reserve = 10 * time.Second, 0.2, 2.0
 	b := retry.NewBudget(ratio)
-	b.SetReserve(epoch, reserve, window)
+	b.SetReserve(epoch, reserve)
 	var requests, retries []time.Time
 	now := epoch
 	for i := range 6000 {
@@ -127,7 +133,7 @@
 			b.RecordRequest(now)
 			requests = append(requests, now)
 		}
-		if i >= 3000 && b.Take(now) {
+		if i >= 3000 && take(b, now) {
 			retries = append(retries, now)
 		}
 	}
@@ -146,3 +152,31 @@
 		}
 	}
 }
+
+// TestReturnedRetriesAddNothing takes and returns retries again and again, as hedges do that find no capacity, and checks that no window
+// then allows more than the ratio and the reserve.
+func TestReturnedRetriesAddNothing(t *testing.T) {
+	const window, ratio, reserve = 10 * time.Second, 0.2, 20.0
+	const requests = 100 // in each window
+	b := retry.NewBudget(ratio)
+	b.SetReserve(epoch, reserve)
+	now := epoch
+	for range 3 * requests {
+		now = now.Add(window / requests)
+		b.RecordRequest(now)
+		if g, ok := b.Take(now); ok {
+			b.Return(g)
+		}
+	}
+	retries := 0
+	for range requests {
+		now = now.Add(window / requests)
+		b.RecordRequest(now)
+		for take(b, now) {
+			retries++
+		}
+	}
+	if allowed := ratio*requests + reserve; float64(retries) > allowed {
+		t.Fatalf("%d retries in a window, allowed %v", retries, allowed)
+	}
+}
