retry: half of the ratio for the nodes' own retries; tests that fail without what they are for

The budget counts calls of servers among the requests, which the rule doesn't, and the calls of repeated runs are repeats as well: 0.15 of all requests and the whole reserve leave too little for both. Change: 0.5 of the ratio in place of 0.75. Mutations of the code showed tests missing: TestQueuedRequestIsRefusedInTime (the gate's wake-up for queued requests), TestAnotherCandidateReplacesALostReader (demand and return of readers); each fails with its mutation.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -4,7 +4,7 @@
 
 // Parameters of the budget.
 const (
-	reserveRatioShare = 0.75             // fraction of the ratio used if a reserve is set; the rest is left for retries of calls that upstreams make
+	reserveRatioShare = 0.5              // fraction of the ratio used if a reserve is set: calls of upstreams count as requests here, and those of repeated runs as retries
 	firstRefillFactor = 3                // factor on the refill rate of the reserve until a new budget has its first token
 	window            = 10 * time.Second // time over which requests and the reserve allow retries
 )
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -203,3 +203,32 @@
 		})
 	}
 }
+
+// reading returns the number of nodes that read now.
+func (f *readingFleet) reading() int {
+	count := 0
+	for _, n := range f.nodes {
+		if !n.down && n.reader.Reads(f.now) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestAnotherCandidateReplacesALostReader checks that one other node reads for all when the reader is gone, and that the nodes return to
+// the reader once it is back, so that the other stops.
+func TestAnotherCandidateReplacesALostReader(t *testing.T) {
+	is := is.New(t)
+	f := newReadingFleet(12)
+	f.run(10 * time.Second)
+	is.Equal(f.reading(), 1)
+	f.nodes[0].down = true
+	before := f.calls()
+	f.run(5 * time.Second)
+	is.Equal(f.reading(), 1)
+	is.True(f.calls()-before < len(f.nodes)) // not every node had to read for itself
+	f.nodes[0].down = false
+	f.run(15 * time.Second)
+	is.Equal(f.reading(), 1)
+	is.True(f.nodes[0].reader.Reads(f.now))
+}
--- a/upstream/gate_test.go
+++ b/upstream/gate_test.go
@@ -195,3 +195,28 @@
 	is.Equal(e.Outcome, outcome.NotRun)
 	is.Equal(conns.Load(), before)
 }
+
+// TestQueuedRequestIsRefusedInTime lets a request wait for the only slot, which is never released, and checks that it is refused as not
+// run when it can no longer start in time.
+func TestQueuedRequestIsRefusedInTime(t *testing.T) {
+	is := is.New(t)
+	hang := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hang }))
+	defer srv.Close()
+	defer close(hang) // before the server closes, which waits for its handlers
+	g := newGate(t, srv.Listener.Addr().String(), 1)
+	go func() { _, _ = g.Do(context.Background(), attempt(1, true)) }()
+	for g.Outstanding() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	const wait = 200 * time.Millisecond
+	a := attempt(2, true)
+	start := time.Now()
+	a.Deadline = start.Add(wait)
+	_, err := g.Do(context.Background(), a)
+	var e *outcome.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Code, outcome.CodeExpired)
+	is.Equal(e.Outcome, outcome.NotRun)
+	is.True(time.Since(start) < 5*wait)
+}
