rollout: another candidate takes over from a lost reader before every node reads

A candidate that is asked begins with a poll of 2 s, so it confirms nothing for 2 s, and the nodes went on to the dead one after each denial. Change: the first read after a pause isn't held; a node that denies is asked once more before the next candidate; one that doesn't answer, isn't.

--- a/node/versions.go
+++ b/node/versions.go
@@ -82,7 +82,10 @@
 
 // readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
 func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
-	versions, after, rejected, err := n.protocols.configSource.Follow(ctx, *next, longPollWait)
+	n.mu.Lock()
+	wait := n.versionReader.Wait(time.Now())
+	n.mu.Unlock()
+	versions, after, rejected, err := n.protocols.configSource.Follow(ctx, *next, wait)
 	if ctx.Err() != nil {
 		return true
 	}
@@ -127,7 +130,9 @@
 	case due && known:
 		n.spawn(func() { n.askReader(to, msg) })
 	case due:
-		n.recordConfirmation(now, false)
+		n.mu.Lock()
+		n.versionReader.Unanswered(now)
+		n.mu.Unlock()
 	}
 }
 
@@ -136,13 +141,13 @@
 	sentAt := time.Now()
 	heartbeat := membership.OutgoingHeartbeat{Name: to.Name, Address: to.Address, Message: msg}
 	resp, err := n.exchange(heartbeat, askTimeout, true)
-	n.recordConfirmation(sentAt, err == nil && resp.Confirmed)
-}
-
-func (n *Node) recordConfirmation(sentAt time.Time, confirmed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.versionReader.Confirmed(sentAt, confirmed)
+	if err != nil {
+		n.versionReader.Unanswered(sentAt)
+		return
+	}
+	n.versionReader.Confirmed(sentAt, resp.Confirmed)
 }
 
 // callSucceeded records the result of a call to the log service; after a failed call it waits and returns false.
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -17,6 +17,7 @@
 	otherStart      = 2 * time.Second         // time after the start until other nodes begin to follow without a confirmation
 	returnTime      = 5 * time.Second         // time after which a node that relies on another candidate asks the first one again
 	answerMargin    = 700 * time.Millisecond  // time beyond the wait of a read after which its answer is overdue
+	maxDenials      = 2                       // number of answers without confirmation in a row after which another candidate is asked
 )
 
 // Reader decides whether a node reads the published versions from the log service itself. In a large fleet only the first candidate
@@ -36,6 +37,7 @@
 	answeredAt  time.Time // last answer of the log service to this node
 	nextAsk     time.Time
 	returnAt    time.Time // the first candidate is asked again then
+	denials     int       // answers without confirmation in a row
 	asking      bool
 }
 
@@ -76,13 +78,27 @@
 // Answered records an answer of the log service, whose versions this node has applied.
 func (r *Reader) Answered(now time.Time) { r.answeredAt = now }
 
+// Wait returns how long the log service may hold the next read. The first read after a pause isn't held, so that this node can confirm
+// soon that it knows the newest version.
+func (r *Reader) Wait(now time.Time) time.Duration {
+	if r.current(now) {
+		return r.wait
+	}
+	return 0
+}
+
+// current reports whether this node knows the newest version.
+func (r *Reader) current(now time.Time) bool {
+	return !r.answeredAt.IsZero() && now.Sub(r.answeredAt) <= r.wait+answerMargin
+}
+
 // Confirms answers another node's request: it reports whether this node reads and knows the newest version. If it doesn't read, it
 // begins to, unless it has just started.
 func (r *Reader) Confirms(now time.Time) bool {
 	if now.Sub(r.startedAt) >= otherStart {
 		r.demandUntil = now.Add(demandTime)
 	}
-	return !r.answeredAt.IsZero() && now.Sub(r.answeredAt) <= r.wait+answerMargin
+	return r.current(now)
 }
 
 // Ask returns the name of the node to ask for confirmation now; ok is false if no request is due.
@@ -104,13 +120,31 @@
 	return "", false
 }
 
-// Confirmed records the answer to a request for confirmation that was sent at sentAt.
+// Confirmed records the answer to a request for confirmation that was sent at sentAt. A node that doesn't confirm may just begin to
+// read, so it is asked once more before the next candidate is.
 func (r *Reader) Confirmed(sentAt time.Time, confirmed bool) {
 	r.asking = false
-	if !confirmed {
-		r.preferred++
-		r.nextAsk = sentAt.Add(retryInterval)
+	if confirmed {
+		r.denials = 0
+		r.leaseUntil, r.nextAsk = sentAt.Add(leaseTime), sentAt.Add(confirmInterval)
 		return
 	}
-	r.leaseUntil, r.nextAsk = sentAt.Add(leaseTime), sentAt.Add(confirmInterval)
+	r.denials++
+	r.nextAsk = sentAt.Add(retryInterval)
+	if r.denials >= maxDenials {
+		r.askNext()
+	}
+}
+
+// Unanswered records that a request for confirmation that was sent at sentAt got no answer.
+func (r *Reader) Unanswered(sentAt time.Time) {
+	r.asking = false
+	r.nextAsk = sentAt.Add(retryInterval)
+	r.askNext()
+}
+
+// askNext makes the next candidate the one to ask.
+func (r *Reader) askNext() {
+	r.preferred++
+	r.denials = 0
 }
