Log fetches from peers and whom a node relies on for versions

Cause: the logs could not tell the incident's hypotheses apart. A fetch of missing state that hung or failed was swallowed without a line, and nobody could see which node confirmed that it reads. Change: one line when a fetch begins, one if it fails or takes over 500 ms, one when the node that is relied on changes. No decision changes.

--- a/node/logstream.go
+++ b/node/logstream.go
@@ -23,6 +23,7 @@
 	minLogBackoff     = 500 * time.Millisecond // minimum wait after a failed read
 	maxLogBackoff     = 5 * time.Second        // maximum mean wait after a failed read
 	fetchTimeout      = 20 * time.Second       // enough to transfer the whole state over the link between regions
+	slowFetch         = 500 * time.Millisecond // time after which the fetch of missing entries is logged as slow
 	maxPushBytes      = 16 << 10               // maximum data size of the log entries in one heartbeat
 )
 
@@ -292,11 +293,16 @@
 		n.mu.Unlock()
 	}()
 	n.mu.Lock()
-	positions := n.logPositions()
+	positions, version := n.logPositions(), n.rollout.Version()
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
+	start := time.Now()
+	_ = level.Info(n.logger).Log("msg", "fetch", "from", address, "version", version)
 	missing, err := n.client.Fetch(ctx, address, positions)
+	if took := time.Since(start); err != nil || took > slowFetch {
+		_ = level.Warn(n.logger).Log("msg", "fetch slow or failed", "from", address, "took", took, "err", err)
+	}
 	if err != nil {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -48,6 +48,7 @@
 	bundleVersion   atomic.Uint64          // version of the bundle in force, for the request log
 	trafficSplits   sync.Map               // *routeSplit, by the key of its route key
 	upstreamService atomic.Pointer[string] // service of the upstreams beside the node, from the settings
+	reliesOn        atomic.Pointer[string] // name of the node that last confirmed that it reads the published versions, or empty; for the log
 
 	mu             sync.Mutex // guards the fields from members to catchingUp
 	members        *membership.Engine
--- a/node/versions.go
+++ b/node/versions.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
@@ -141,6 +142,7 @@
 	sentAt := time.Now()
 	heartbeat := membership.OutgoingHeartbeat{Name: to.Name, Address: to.Address, Message: msg}
 	resp, err := n.exchange(heartbeat, askTimeout, true)
+	n.logReliance(to.Name, err == nil && resp.Confirmed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err != nil {
@@ -150,6 +152,16 @@
 	n.versionReader.Confirmed(sentAt, resp.Confirmed)
 }
 
+// logReliance logs that this node began or ceased to rely on another one to read the published versions.
+func (n *Node) logReliance(reader string, confirmed bool) {
+	if !confirmed {
+		reader = ""
+	}
+	if previous := n.reliesOn.Swap(&reader); previous == nil || *previous != reader {
+		_ = level.Info(n.logger).Log("msg", "versions read by", "reader", cmp.Or(reader, "self"), "version", n.bundleVersion.Load())
+	}
+}
+
 // callSucceeded records the result of a call to the log service; after a failed call it waits and returns false.
 func (n *Node) callSucceeded(ctx context.Context, err error, b *backoff) bool {
 	n.recordLogServiceResult(err)
