A fetch from a node that is lost doesn't keep a node from the version

Cause: a node that hears of a newer version asks the node that told of it for the state, one at a time, for up to 20 s. A node that freezes or loses power between its heartbeat and its answer never answers; acknowledged data leaves TCP no reason to end the connection. All that others told meanwhile was dropped (catchingUp), and a reader that had the version confirmed that it reads, which says nothing of the node that asked: so it didn't read the store either. Class: one lost peer holds the only slot of a repair, and a node vouches for another without saying for what. Change: rollout.CatchUp keeps all nodes that told of newer state; one that isn't answered in 0.4 s (doubling) no longer keeps the others from being asked, four at a time. A confirmation of a node with a newer version is no confirmation (Reader.Behind): then the lease ends and the node reads the store by itself. The two work apart: the first repairs within half a second, the second if all that told are lost.

--- a/node/logstream.go
+++ b/node/logstream.go
@@ -22,8 +22,6 @@
 	claimReadInterval = time.Second            // mean interval between reads by a node that needs to claim a shard
 	minLogBackoff     = 500 * time.Millisecond // minimum wait after a failed read
 	maxLogBackoff     = 5 * time.Second        // maximum mean wait after a failed read
-	fetchTimeout      = 20 * time.Second       // enough to transfer the whole state over the link between regions
-	slowFetch         = 500 * time.Millisecond // time after which the fetch of missing entries is logged as slow
 	maxPushBytes      = 16 << 10               // maximum data size of the log entries in one heartbeat
 )
 
@@ -264,111 +262,22 @@
 		}
 		n.applyEntries(stream, entries)
 	}
+	name := heartbeat.Message.Name
 	n.mu.Lock()
 	if len(heartbeat.Positions) > 0 {
-		n.peerPositions[heartbeat.Message.Name] = heartbeat.Positions
+		n.peerPositions[name] = heartbeat.Positions
 	}
-	behind := false
-	for _, position := range heartbeat.Positions {
-		cache := n.tailCaches[position.Stream]
-		behind = behind || cache != nil && cache.Next() < position.Next
-		behind = behind || position.Stream == publishedStream && n.protocols.hasConfigSource() && n.rollout.Version() < uint64(position.Next)
-	}
-	if sender, ok := n.members.Member(heartbeat.Message.Name); ok && address == "" {
+	if sender, ok := n.members.Member(name); ok && address == "" {
 		address = sender.Address
 	}
-	startFetch := behind && !n.catchingUp && address != ""
-	n.catchingUp = n.catchingUp || startFetch
-	n.mu.Unlock()
-	if startFetch {
-		n.spawn(func() { n.fetchMissing(address) })
+	behind := address != "" && n.behind(heartbeat.Positions)
+	if behind {
+		n.catchUp.Heard(name, address)
 	}
-}
-
-// fetchMissing fetches the log entries or the state that this node is missing from another node.
-func (n *Node) fetchMissing(address string) {
-	defer func() {
-		n.mu.Lock()
-		n.catchingUp = false
-		n.mu.Unlock()
-	}()
-	n.mu.Lock()
-	positions, version := n.logPositions(), n.rollout.Version()
 	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	start := time.Now()
-	_ = level.Info(n.logger).Log("msg", "fetch", "from", address, "version", version)
-	missing, err := n.client.Fetch(ctx, address, positions)
-	if took := time.Since(start); err != nil || took > slowFetch {
-		_ = level.Warn(n.logger).Log("msg", "fetch slow or failed", "from", address, "took", took, "err", err)
-	}
-	if err != nil {
-		return
-	}
-	n.adoptState(missing)
-	for _, e := range missing.Entries {
-		n.applyEntries(e.Stream, []platform.Entry{e.Entry})
-	}
-}
-
-// adoptState adopts the bundle state and the ownership table of another node if they are newer than this node's.
-func (n *Node) adoptState(peerState peer.FetchResponse) {
-	n.mu.Lock()
-	if peerState.Bundle != nil {
-		adopted, err := n.rollout.Adopt(*peerState.Bundle)
-		if adopted && peerState.Bundle.Published {
-			version := n.rollout.Version()
-			defer func() { n.installVersion(version, "peer") }()
-		}
-		if adopted {
-			n.tailCaches[rollout.Stream].Reset(n.rollout.Next())
-		}
-		if err != nil {
-			_ = level.Warn(n.logger).Log("msg", "peer state rejected", "err", err)
-		}
-	}
-	if n.owners.Adopt(time.Now(), peerState.Owners) {
-		n.tailCaches[ownership.Stream].Reset(n.owners.Next())
-	}
-	output := n.owners.TakeOutput()
-	n.mu.Unlock()
-	n.handleOwnershipOutput(output)
-	n.installBundle()
-}
-
-// Fetch implements peer.Node. It returns the entries from the given positions on, or the whole state if they are no longer cached.
-func (n *Node) Fetch(positions []peer.Position) peer.FetchResponse {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var missing peer.FetchResponse
-	for _, position := range positions {
-		if position.Stream == publishedStream && n.rollout.Version() > uint64(position.Next) {
-			n.addWholeState(&missing, position.Stream)
-		}
-		cache := n.tailCaches[position.Stream]
-		if cache == nil {
-			continue
-		}
-		entries, ok := cache.Since(position.Next)
-		if !ok {
-			n.addWholeState(&missing, position.Stream)
-			continue
-		}
-		for _, e := range entries {
-			missing.Entries = append(missing.Entries, peer.LogEntry{Stream: position.Stream, Entry: e})
-		}
-	}
-	return missing
-}
-
-func (n *Node) addWholeState(missing *peer.FetchResponse, stream string) {
-	if stream == ownership.Stream {
-		missing.Owners = n.owners.Table()
-		return
+	if behind {
+		n.fetchDue(time.Now())
 	}
-	state := n.rollout.State()
-	missing.Bundle = &state
 }
 
 // recordLogServiceResult records that the log service became unavailable or available again, given the result of a call to it.
--- a/node/members.go
+++ b/node/members.go
@@ -28,13 +28,14 @@
 	}
 }
 
-// tickMembership advances the membership engine to now.
+// tickMembership advances the membership engine to now and begins a fetch that is due.
 func (n *Node) tickMembership(_ context.Context, now time.Time) {
 	n.mu.Lock()
 	n.members.Tick(now)
 	output := n.members.TakeOutput()
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
+	n.fetchDue(now)
 }
 
 // tickOwnership advances the ownership engine to now.
--- a/node/node.go
+++ b/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -50,16 +51,17 @@
 	upstreamService atomic.Pointer[string] // service of the upstreams beside the node, from the settings
 	reliesOn        atomic.Pointer[string] // name of the node that last confirmed that it reads the published versions, or empty; for the log
 
-	mu             sync.Mutex // guards the fields from members to catchingUp
+	mu             sync.Mutex // guards the fields from members to fetchCancels
 	members        *membership.Engine
 	rollout        *rollout.Engine
 	owners         *ownership.Engine
-	versionReader  *rollout.Reader                // whether this node reads the published versions; nil with the own protocols
-	tailCaches     map[string]*platform.TailCache // newest log entries, by stream
-	peerPositions  map[string][]peer.Position     // log positions reported by other nodes, by node name
-	lastSnapshotAt map[string]time.Time           // time of the newest snapshot in the log, by stream
-	logServiceDown bool                           // whether the last call to the log service failed
-	catchingUp     bool                           // whether missing log entries are being fetched from another node
+	versionReader  *rollout.Reader                       // whether this node reads the published versions; nil with the own protocols
+	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
+	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
+	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
+	logServiceDown bool                                  // whether the last call to the log service failed
+	catchUp        rollout.CatchUp                       // from which nodes missing state is fetched
+	fetchCancels   map[*rollout.Fetch]context.CancelFunc // cancel functions of the running fetches
 	bundle         atomic.Pointer[bundle.Bundle]
 
 	view         fleetView
@@ -113,6 +115,7 @@
 	n.owners = ownership.New(now, ownershipNode(self), ownership.DisabledSafeguards{})
 	n.tailCaches = map[string]*platform.TailCache{rollout.Stream: {}, ownership.Stream: {}}
 	n.peerPositions = make(map[string][]peer.Position)
+	n.fetchCancels = make(map[*rollout.Fetch]context.CancelFunc)
 	n.lastSnapshotAt = map[string]time.Time{rollout.Stream: now, ownership.Stream: now}
 	n.keys.ledger = idempotency.NewLedger(idempotency.Limits{
 		MaxKeys:          cfg.Limits.Keys,
--- a/node/versions.go
+++ b/node/versions.go
@@ -145,11 +145,14 @@
 	n.logReliance(to.Name, err == nil && resp.Confirmed)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil:
 		n.versionReader.Unanswered(sentAt)
-		return
+	case n.behind(resp.Positions):
+		n.versionReader.Behind(sentAt)
+	default:
+		n.versionReader.Confirmed(sentAt, resp.Confirmed)
 	}
-	n.versionReader.Confirmed(sentAt, resp.Confirmed)
 }
 
 // logReliance logs that this node began or ceased to rely on another one to read the published versions.
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -136,6 +136,13 @@
 	}
 }
 
+// Behind records that the answer to a request that was sent at sentAt came from a node with a newer version than this one has. What that
+// node confirms says nothing of the version in force here, so this node reads by itself unless it gets the version before its lease ends.
+func (r *Reader) Behind(sentAt time.Time) {
+	r.asking = false
+	r.nextAsk = sentAt.Add(retryInterval)
+}
+
 // Unanswered records that a request for confirmation that was sent at sentAt got no answer.
 func (r *Reader) Unanswered(sentAt time.Time) {
 	r.asking = false
