A refusal counts only if it answers the request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection; callers were told "not run, try again" for requests that ran (REFUSED), or such a request ran at a second server (TWICE). Cause: it can happen here. The gate read a response's refusal (503 or 429 with Not-Executed, 421) before it compared the response's id with the attempt's, so a refusal of another request was taken as proof that this one didn't run. This gate closes a connection after each refusal, so the second copy must come on another kept connection, or in place of the next answer. Change: a refusal is believed if it has the attempt's id, or none on a connection that has carried no answer yet; any other one is a mismatch: outcome unknown, connection closed, evidence against the upstream.

--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -49,7 +49,7 @@
 		g.finish(a, id, start, r)
 		cancel()
 	}
-	if err := g.rejection(x.resp); err != nil {
+	if err := g.rejection(x.resp); err != nil && g.isOwn(a, x) {
 		x.abort()
 		end(shed)
 		return nil, err
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// isOwn reports whether a refusal is the answer to the attempt. One with another id, or one without an id on a connection that has carried an
+// answer before, may be an earlier refusal that the upstream has written once more.
+func (g *Gate) isOwn(a *Attempt, x *exchange) bool {
+	id := x.resp.Header.Get(g.dialect.AttemptHeader)
+	return id == g.attemptID(a) || id == "" && x.conn.lastUsed.IsZero()
+}
+
 func (g *Gate) newRequest(a *Attempt, now time.Time) *http.Request {
 	var body io.ReadCloser
 	if a.Length != 0 && a.Body != nil {
