--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -42,7 +42,7 @@
 	net.Conn
 	limit    *headLimiter
 	reader   *bufio.Reader // reads through limit
-	lastUsed time.Time // zero until the first exchange has ended
+	lastUsed time.Time     // zero until the first exchange has ended
 	maxIdle  time.Duration // idle time after which the upstream may close the connection
 }
 
