--- a/node/versions.go
+++ b/node/versions.go
@@ -48,16 +48,12 @@
 			continue
 		}
 		sentAt := n.recordReadSent(0)
-		v, offset, found, err := n.protocols.configSource.Newest(ctx)
+		versions, offset, rejected, err := n.protocols.configSource.Newest(ctx)
 		if ctx.Err() != nil || !n.callSucceeded(ctx, err, sentAt, &b) {
 			continue
 		}
 		next, started = offset, true
-		if found {
-			n.applyVersions([]platform.Version{v}, nil)
-		} else {
-			n.applyVersions(nil, nil)
-		}
+		n.applyVersions(versions, rejected)
 	}
 }
 
