peer, rollout: shards and offsets out of range stop no node

Cause: a handover of a shard that doesn't exist indexed past the table; net/http recovers the panic of a handler, but the node's locks stayed held, so it answered nothing any more. Evidence: before, TestOddPeerMessagesStopNoNode: "index out of range [1048576] with length 1024", then no heartbeat is answered; TestOddSnapshotHidesNoLaterRecord: the next change stays "waiting". TestOddLogRecordsStopNoNode passes on the code before, too.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -108,6 +108,30 @@
 	return l.firstOffset[stream] > 0
 }
 
+// dropBefore makes all records of the stream before the one with the id expire.
+func (l *memoryLog) dropBefore(stream, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, e := range l.entriesByStream[stream] {
+		if e.ID == id {
+			l.firstOffset[stream] = platform.Offset(i)
+		}
+	}
+}
+
+// newestSnapshot returns the newest snapshot of the stream.
+func (l *memoryLog) newestSnapshot(stream string) platform.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var newest platform.Record
+	for _, e := range l.entriesByStream[stream] {
+		if strings.HasPrefix(e.ID, "snapshot-") {
+			newest = e.Record
+		}
+	}
+	return newest
+}
+
 // testFleet is a fleet whose nodes run in the test process and share one in-memory log.
 type testFleet struct {
 	t           *testing.T
@@ -163,8 +187,10 @@
 	return n, stop
 }
 
-func (f *testFleet) publishTestBundle(n *node.Node) {
-	b, err := bundle.Parse("b.toml", []byte(testBundle))
+func (f *testFleet) publishTestBundle(n *node.Node) { f.publishBundle(n, testBundle) }
+
+func (f *testFleet) publishBundle(n *node.Node, text string) {
+	b, err := bundle.Parse("b.toml", []byte(text))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -197,7 +197,7 @@
 	decoded := leases(req.GetMoves())
 	epochs := req.GetEpochs()
 	for i, s := range req.GetShards() {
-		if i < len(epochs) {
+		if i < len(epochs) && s < ownership.ShardCount {
 			decoded = append(decoded, ownership.Lease{Shard: int(s), Epoch: epochs[i]})
 		}
 	}
@@ -215,6 +215,9 @@
 func leases(list []*peerv1.Lease) []ownership.Lease {
 	var decoded []ownership.Lease
 	for _, p := range list {
+		if p.GetShard() >= ownership.ShardCount {
+			continue
+		}
 		decoded = append(decoded, ownership.Lease{Shard: int(p.GetShard()), Epoch: p.GetEpoch(), NewWitnesses: witnesses(p.GetSet())})
 	}
 	return decoded
@@ -260,6 +263,9 @@
 func handovers(list []*peerv1.Shard, now time.Time) []ShardHandover {
 	var decoded []ShardHandover
 	for _, s := range list {
+		if s.GetShard() >= ownership.ShardCount {
+			continue
+		}
 		h := ShardHandover{Shard: ownership.ShardHandover{Shard: int(s.GetShard()), Epoch: s.GetEpoch(), Witnesses: witnesses(s.GetSet())}}
 		if s.GetGapMs() > 0 {
 			h.Shard.CompleteSince = now.Add(-time.Duration(s.GetGapMs()) * time.Millisecond)
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -115,7 +115,7 @@
 	case Roll:
 		return e.roll(rec)
 	case Snapshot:
-		return e.adoptSnapshot(rec)
+		return e.adoptSnapshot(rec, entry.Offset)
 	}
 	return []Event{{ID: rec.ID, Result: Invalid, Text: fmt.Sprintf("unknown record kind %q", rec.Kind)}}
 }
@@ -352,11 +352,14 @@
 }
 
 // adoptSnapshot adopts a snapshot from the log if it is newer. Next is then the offset of the first entry that the snapshot
-// does not include, so later entries are applied again.
-func (e *Engine) adoptSnapshot(rec Record) []Event {
+// does not include, so later entries are applied again. A snapshot can't include entries that were appended after it.
+func (e *Engine) adoptSnapshot(rec Record, offset platform.Offset) []Event {
 	if rec.State == nil {
 		return nil
 	}
+	if rec.State.Offset > uint64(offset) {
+		return []Event{{ID: rec.ID, Result: Invalid, Text: "snapshot of entries that follow it"}}
+	}
 	ok, err := e.Adopt(*rec.State)
 	switch {
 	case err != nil:
