node: all tables of a version are installed before those of the next

Suspected, from reading: of two versions that arrive at the same time from the store and from a peer, the older one's classes could be given to the gates after the newer one's, since only the first half of installBundle held the lock. A class of the newer version would then be refused at that gate until the next change.

--- a/node/logstream.go
+++ b/node/logstream.go
@@ -194,23 +194,21 @@
 	n.installBundle()
 }
 
-// installBundle puts the rollout engine's current bundle in force at this node.
+// installBundle puts the rollout engine's current bundle in force at this node. Of two calls at the same time, the second one waits, so that
+// all tables are of one version.
 func (n *Node) installBundle() {
 	n.servicesMu.Lock()
+	defer n.servicesMu.Unlock()
 	n.mu.Lock()
 	newBundle, version := n.rollout.InForce(), n.rollout.Version()
 	n.mu.Unlock()
-	changed := newBundle != n.bundle.Load()
-	if changed {
-		n.bundle.Store(newBundle)
-		n.updateServiceStates(newBundle)
-	}
-	n.servicesMu.Unlock()
 	n.bundleVersion.Store(version)
 	n.metrics.bundleVersion.Set(float64(version))
-	if !changed {
+	if newBundle == n.bundle.Load() {
 		return
 	}
+	n.bundle.Store(newBundle)
+	n.updateServiceStates(newBundle)
 	n.keys.setRetention(newBundle.Policy().KeyRetention())
 	n.setLinkLimit(newBundle.Policy().MaxLinkBytesPerSecond())
 	for _, gate := range n.gates.all() {
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -80,10 +80,9 @@
 	}
 }
 
-// updateAllServices gives all upstreams to the balancers, of which some may be new, and shares the retry reserve.
+// updateAllServices gives all upstreams to the balancers, of which some may be new, and shares the retry reserve; the caller holds
+// n.servicesMu.
 func (n *Node) updateAllServices() {
-	n.servicesMu.Lock()
-	defer n.servicesMu.Unlock()
 	update := upstreamUpdate{}
 	for _, m := range n.view.members() {
 		update.add(n, membership.Member{}, m)
