--- a/upstream/truncated_test.go
+++ b/upstream/truncated_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	go func() {
-		defer ln.Close()
+		defer func() { _ = ln.Close() }()
 		c, err := ln.Accept()
 		if err != nil {
 			return
