--- a/node/versions.go
+++ b/node/versions.go
@@ -47,7 +47,7 @@
 			started = n.readVersions(ctx, &next, &b)
 			continue
 		}
-		sentAt := n.recordReadSent(0)
+		sentAt := n.recordNewestSent()
 		versions, offset, rejected, err := n.protocols.configSource.Newest(ctx)
 		if ctx.Err() != nil || !n.callSucceeded(ctx, err, sentAt, &b) {
 			continue
@@ -81,13 +81,14 @@
 
 // readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
 func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
-	n.mu.Lock()
-	hold := n.versionReader.Hold(time.Now())
 	readCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sentAt := time.Now()
+	n.mu.Lock()
+	hold := n.versionReader.Hold(sentAt)
+	n.versionReader.Sent(sentAt, hold)
 	n.cancelRead = cancel
 	n.mu.Unlock()
-	defer cancel()
-	sentAt := n.recordReadSent(hold)
 	versions, after, rejected, err := n.protocols.configSource.Follow(readCtx, *next, hold)
 	if err != nil && readCtx.Err() != nil {
 		return true // the node stops, or the read was held for too long
@@ -122,12 +123,12 @@
 	n.versionReader.Answered(time.Now(), len(versions)+len(rejected) > 0)
 }
 
-// recordReadSent records that a read is sent, which the log service may hold, and returns the time.
-func (n *Node) recordReadSent(hold time.Duration) time.Time {
+// recordNewestSent records that the newest version is requested, which the log service doesn't hold, and returns the time.
+func (n *Node) recordNewestSent() time.Time {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.versionReader.Sent(now, hold)
+	n.versionReader.Sent(now, 0)
 	return now
 }
 
