--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
 DRAWN = ./admission ./bundle ./event ./membership ./outlier ./platform ./quota ./retry ./rollout ./routing
-PLAIN = ./caller ./idempotency ./node ./setting ./upstream
+PLAIN = ./caller ./idempotency ./node ./setting ./tcp ./upstream
 
 # The ownership tests run without the race detector, which makes them 10 times slower; the code under test starts no goroutines.
 test:
--- a/node/settings.go
+++ b/node/settings.go
@@ -174,6 +174,9 @@
 	if len(s.Trust.Keys) == 0 && s.Platform.Contract == defaultProtocols {
 		problems = append(problems, setting.NewProblem("trust.keys", "is empty, so that no bundle could be signed off"))
 	}
+	if s.Platform.Apply <= 0 {
+		problems = append(problems, setting.NewProblem("platform.apply", "is %v, want more than 0", s.Platform.Apply.Std()))
+	}
 	if s.Platform.Snapshot <= 0 {
 		problems = append(problems, setting.NewProblem("platform.snapshot", "is %v, want more than 0", s.Platform.Snapshot.Std()))
 	}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +58,14 @@
 	is.True(time.Since(start) >= grace*5/6)
 	is.True(time.Since(start) < grace)
 }
+
+func TestSettingsNeedATimeToApplyVersions(t *testing.T) {
+	is := is.New(t)
+	reports := func(apply time.Duration) bool {
+		cfg := node.DefaultSettings()
+		cfg.Platform.Apply = setting.Duration(apply)
+		return slices.ContainsFunc(cfg.Check(), func(p setting.Problem) bool { return strings.Contains(p.String(), "platform.apply") })
+	}
+	is.True(reports(0)) // nodes would read without a pause
+	is.True(!reports(time.Second))
+}
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -26,24 +26,25 @@
 
 // simNode is a node of a simulated data centre that reads versions from a log service, or relies on one that does.
 type simNode struct {
-	name     string
-	index    int
-	reader   *rollout.Reader
-	catchUp  rollout.CatchUp
-	version  int
-	peers    map[string]int  // versions that other nodes told of, by name
-	cutFrom  map[string]bool // nodes whose answers don't arrive
-	cutStore bool            // its reads get no answer
-	refused  bool            // the store refuses its reads
-	down     bool
-	frozen   time.Time // the node stands still until then
-	settled  time.Time // the last fault of the node ended then
-	life     int       // counts the starts
-	calls    int       // to the store
-	failures int       // reads that failed in a row
-	reading  bool
-	nextRead time.Time
-	nextBeat time.Time
+	name                   string
+	index                  int
+	reader                 *rollout.Reader
+	catchUp                rollout.CatchUp
+	version                int
+	peers                  map[string]int  // versions that other nodes told of, by name
+	cutFrom                map[string]bool // nodes whose answers don't arrive
+	cutStore               bool            // its reads get no answer
+	refused                bool            // the store refuses its reads
+	down                   bool
+	frozen                 time.Time // the node stands still until then
+	settled                time.Time // the last fault of the node ended then
+	cutUntil, refusedUntil time.Time // ends of drawn faults of the store, which may overlap
+	life                   int       // counts the starts
+	calls                  int       // to the store
+	failures               int       // reads that failed in a row
+	reading                bool
+	nextRead               time.Time
+	nextBeat               time.Time
 }
 
 // simMessage is an event at a time; it waits while the node is frozen and is lost if the node has ended.
@@ -119,9 +120,14 @@
 
 // unsettle records a fault of the node that lasts until then.
 func (n *simNode) unsettle(until time.Time) {
-	if until.After(n.settled) {
-		n.settled = until
+	n.settled = later(n.settled, until)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // restart cuts a node's power for restartTime.
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -170,13 +170,13 @@
 				case "power":
 					f.restart(n)
 				case "store":
-					n.cutStore = true
+					n.cutStore, n.cutUntil = true, later(n.cutUntil, f.now.Add(d))
 					n.unsettle(f.now.Add(d))
-					f.after(d, nil, func() { n.cutStore = false })
+					f.after(d, nil, func() { n.cutStore = f.now.Before(n.cutUntil) })
 				case "refuse":
-					n.refused = true
+					n.refused, n.refusedUntil = true, later(n.refusedUntil, f.now.Add(d))
 					n.unsettle(f.now.Add(d))
-					f.after(d, nil, func() { n.refused = false })
+					f.after(d, nil, func() { n.refused = f.now.Before(n.refusedUntil) })
 				}
 			}
 			check(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * step)
