Log every deregistration, and the incarnation and sequence number of announcements

For the incident of a request after leaving: a deregistration of an unknown upstream left no line, so the logs could not tell an acknowledgement without effect from a deregistration that never came, nor a late announcement from a new one. No logic is changed.

--- a/node/gates.go
+++ b/node/gates.go
@@ -81,10 +81,10 @@
 // Announce implements upstream.Registry. It adds or renews an upstream and returns the number of its unfinished requests.
 func (n *Node) Announce(announcement upstream.Announcement) (int, error) {
 	now := time.Now()
-	id := announcement.ID
+	received := announcement
 	announcement, err := n.applyAnnouncement(now, announcement)
 	if err != nil {
-		n.logAnnouncement("ignored", id, err.Error())
+		n.logAnnouncement("ignored", received, err.Error())
 		return 0, nil // a superseded announcement is no error for the upstream
 	}
 	n.gates.mu.Lock()
@@ -109,7 +109,7 @@
 			eventKind = event.Drain
 		}
 		n.events.Add(event.Event{Kind: eventKind, Upstream: announcement.ID, Text: announcement.Service + " " + string(announcement.State)})
-		n.logAnnouncement(string(announcement.State), announcement.ID, announcement.Service)
+		n.logAnnouncement(string(announcement.State), announcement, announcement.Service)
 		n.announceUpstreams()
 	}
 	return gate.Outstanding(), nil
@@ -146,15 +146,17 @@
 }
 
 // logAnnouncement logs the result of an announcement.
-func (n *Node) logAnnouncement(result, id, reason string) {
-	_ = level.Info(n.logger).Log("msg", "announcement", "result", result, "upstream", id, "why", reason)
+func (n *Node) logAnnouncement(result string, a upstream.Announcement, reason string) {
+	_ = level.Info(n.logger).Log("msg", "announcement", "result", result, "upstream", a.ID, "incarnation", a.Incarnation, "seq", a.Seq, "state", a.State, "why", reason)
 }
 
 // Withdraw implements upstream.Registry. It removes an upstream that leaves.
 func (n *Node) Withdraw(id string) {
 	n.gates.mu.Lock()
+	_, known := n.gates.roster.Current(id)
 	n.gates.roster.Remove(time.Now(), id, true)
 	n.gates.mu.Unlock()
+	_ = level.Info(n.logger).Log("msg", "withdrawn", "upstream", id, "known", known)
 	n.removeGate(id, "left")
 }
 
@@ -171,7 +173,7 @@
 	gate.Drain()
 	cancel()
 	n.events.Add(event.Event{Kind: event.Gone, Upstream: id, Text: reason})
-	n.logAnnouncement("gone", id, reason)
+	n.logAnnouncement("gone", gate.Announcement(), reason)
 	n.announceUpstreams()
 }
 
