A departure is recorded also at a node that doesn't know the upstream

Callers saw: 502 from an upstream that was gone, 2.1 s after the node beside it had acknowledged that it leaves. Cause: Roster.Remove of an unknown id recorded nothing, and the node answered 200. A node that has just started knows no upstream; an announcement of the same incarnation that had been on its way for seconds was then the first that it heard, and a gate opened. Change: Roster.Depart records the newest incarnation that can have sent the departure: the one that it names or, on the platform, where incarnations are start times, all that started before now. A departure that tells neither, of an unknown upstream, is refused (404) instead of acknowledged without effect. Beside it, of the same class: an announcement of draining is applied whatever its address, service and order; a silent upstream that had said that it drains comes back draining only; a late departure of an earlier incarnation no longer ends the live one; announcements, departures and the gates that they open or close are one step under one lock: a departure between the roster and the gate left the gate open, and a stopping node's drain could be undone. Why it works: what is acknowledged is in the roster before the answer, and the roster decides on each later announcement. Tests: roster_test.go's cases now call Depart and Expire in place of Remove(final); each old check stands.

--- a/node/gates.go
+++ b/node/gates.go
@@ -46,8 +46,11 @@
 	return gates
 }
 
+// drain drains all gates. The lock keeps an announcement that is being applied from opening one again.
 func (s *gateSet) drain() {
-	for _, gate := range s.all() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, gate := range s.byID {
 		gate.Drain()
 	}
 }
@@ -80,101 +83,169 @@
 
 // Announce implements upstream.Registry. It adds or renews an upstream and returns the number of its unfinished requests.
 func (n *Node) Announce(announcement upstream.Announcement) (int, error) {
-	now := time.Now()
-	received := announcement
-	announcement, err := n.applyAnnouncement(now, announcement)
-	if err != nil {
-		n.logAnnouncement("ignored", received, err.Error())
+	if err := n.checkAnnouncement(announcement); err != nil {
+		n.logAnnouncement("ignored", announcement, err.Error())
+		return 0, nil // no work is sent to it, so its announcement changes nothing
+	}
+	applied, err := n.gates.apply(n, time.Now(), announcement)
+	var stale *upstream.StaleError
+	if errors.As(err, &stale) {
+		n.logAnnouncement("ignored", announcement, err.Error())
 		return 0, nil // a superseded announcement is no error for the upstream
 	}
-	n.gates.mu.Lock()
-	gate := n.gates.byID[announcement.ID]
-	if gate == nil && len(n.gates.byID) >= maxUpstreams {
-		n.gates.mu.Unlock()
-		return 0, errors.Errorf("node already has the maximum of %d upstreams", maxUpstreams)
+	if err != nil {
+		return 0, err
 	}
-	changed := gate == nil
-	if gate == nil {
-		gate = upstream.NewGate(announcement, n.protocols.upstream, admissionClasses(n.Bundle(), announcement.Service), now)
-		n.addGate(announcement.ID, gate)
+	for _, gate := range applied.replaced {
+		n.recordRemoval(gate, "replaced by "+announcement.ID)
 	}
-	n.gates.mu.Unlock()
-	if n.stopping.Load() {
-		announcement.State = upstream.Draining
+	if applied.changed {
+		n.recordAnnouncement(applied.gate.Announcement())
 	}
-	changed = gate.Renew(announcement, now) || changed
-	if changed {
-		eventKind := event.Announce
-		if announcement.State == upstream.Draining {
-			eventKind = event.Drain
-		}
-		n.events.Add(event.Event{Kind: eventKind, Upstream: announcement.ID, Text: announcement.Service + " " + string(announcement.State)})
-		n.logAnnouncement(string(announcement.State), announcement, announcement.Service)
+	if applied.changed || len(applied.replaced) > 0 {
 		n.announceUpstreams()
 	}
-	return gate.Outstanding(), nil
+	return applied.gate.Outstanding(), nil
 }
 
-// applyAnnouncement validates an announcement, applies it to the roster and removes the upstreams that it replaces.
-// It returns the current announcement of the upstream.
-func (n *Node) applyAnnouncement(now time.Time, announcement upstream.Announcement) (upstream.Announcement, error) {
+// checkAnnouncement rejects announcements of upstreams to which the node sends no work. One that drains is always taken.
+func (n *Node) checkAnnouncement(announcement upstream.Announcement) error {
+	if announcement.State == upstream.Draining {
+		return nil
+	}
 	if allowed := n.cfg.Listen.AllowedUpstreamAddress; allowed != "" && announcement.Address != allowed {
-		return announcement, errors.Errorf("address %s is not beside this node, want %s", announcement.Address, allowed)
+		return errors.Errorf("address %s is not beside this node, want %s", announcement.Address, allowed)
 	}
 	if bundleInForce := n.Bundle(); n.protocols.hasConfigSource() && bundleInForce.Len() > 0 && bundleInForce.Service(announcement.Service) == nil {
-		return announcement, errors.Errorf("service %q is unknown", announcement.Service)
+		return errors.Errorf("service %q is unknown", announcement.Service)
 	}
-	n.gates.mu.Lock()
-	replaced, err := n.gates.roster.Apply(now, announcement)
-	announcement, _ = n.gates.roster.Current(announcement.ID)
-	n.gates.mu.Unlock()
+	return nil
+}
+
+// appliedAnnouncement is the effect of an announcement on the gates.
+type appliedAnnouncement struct {
+	gate     *upstream.Gate
+	changed  bool // the gate is new, or what other nodes know of it changed
+	replaced []*upstream.Gate
+}
+
+// apply applies an announcement to the roster and to the gate of its upstream in one step, so that no departure comes between.
+func (s *gateSet) apply(n *Node, now time.Time, announcement upstream.Announcement) (appliedAnnouncement, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	gate := s.byID[announcement.ID]
+	if gate == nil && len(s.byID) >= maxUpstreams {
+		return appliedAnnouncement{}, errors.Errorf("node already has the maximum of %d upstreams", maxUpstreams)
+	}
+	replaced, err := s.roster.Apply(now, announcement)
+	if err != nil {
+		return appliedAnnouncement{}, err
+	}
+	applied := appliedAnnouncement{}
 	for _, id := range replaced {
-		n.removeGate(id, "replaced by "+announcement.ID)
+		if removed := s.remove(id); removed != nil {
+			applied.replaced = append(applied.replaced, removed)
+		}
 	}
-	return announcement, err
+	announcement, _ = s.roster.Current(announcement.ID)
+	if n.stopping.Load() {
+		announcement.State = upstream.Draining
+	}
+	applied.gate = s.byID[announcement.ID]
+	if applied.gate == nil {
+		applied.changed = true
+		applied.gate = upstream.NewGate(announcement, n.protocols.upstream, admissionClasses(n.Bundle(), announcement.Service), now)
+		s.add(n, announcement.ID, applied.gate)
+	}
+	applied.changed = applied.gate.Renew(announcement, now) || applied.changed
+	return applied, nil
 }
 
-// addGate adds and starts a gate; the caller holds n.gates.mu.
-func (n *Node) addGate(id string, gate *upstream.Gate) {
-	if n.gates.cancelByID == nil {
-		n.gates.cancelByID = make(map[string]context.CancelFunc)
+// add adds and starts a gate; the caller holds s.mu.
+func (s *gateSet) add(n *Node, id string, gate *upstream.Gate) {
+	if s.cancelByID == nil {
+		s.cancelByID = make(map[string]context.CancelFunc)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.gates.byID[id] = gate
-	n.gates.cancelByID[id] = cancel
+	s.byID[id] = gate
+	s.cancelByID[id] = cancel
 	n.spawn(func() { gate.Run(ctx) })
 }
 
-// logAnnouncement logs the result of an announcement.
-func (n *Node) logAnnouncement(result string, a upstream.Announcement, reason string) {
-	_ = level.Info(n.logger).Log("msg", "announcement", "result", result, "upstream", a.ID, "incarnation", a.Incarnation, "seq", a.Seq, "state", a.State, "why", reason)
+// remove removes the gate of an upstream and returns it, or nil if there is none; the caller holds s.mu. Requests that are
+// running at the upstream continue.
+func (s *gateSet) remove(id string) *upstream.Gate {
+	gate, cancel := s.byID[id], s.cancelByID[id]
+	delete(s.byID, id)
+	delete(s.cancelByID, id)
+	if gate == nil {
+		return nil
+	}
+	gate.Drain()
+	cancel()
+	return gate
 }
 
-// Withdraw implements upstream.Registry. It removes an upstream that leaves.
-func (n *Node) Withdraw(id string) {
-	n.gates.mu.Lock()
-	_, known := n.gates.roster.Current(id)
-	n.gates.roster.Remove(time.Now(), id, true)
-	n.gates.mu.Unlock()
-	_ = level.Info(n.logger).Log("msg", "withdrawn", "upstream", id, "known", known)
-	n.removeGate(id, "left")
+// depart records a departure and removes the gate of its upstream, which it returns unless there is none.
+func (s *gateSet) depart(now time.Time, d upstream.Departure) (*upstream.Gate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.roster.Depart(now, d); err != nil {
+		return nil, err
+	}
+	return s.remove(d.ID), nil
 }
 
-// removeGate removes the gate of an upstream. Requests that are running at the upstream continue.
-func (n *Node) removeGate(id, reason string) {
-	n.gates.mu.Lock()
-	gate, cancel := n.gates.byID[id], n.gates.cancelByID[id]
-	delete(n.gates.byID, id)
-	delete(n.gates.cancelByID, id)
-	n.gates.mu.Unlock()
-	if gate == nil {
-		return
+// expire removes the gate of an upstream that stopped renewing its announcement, and reports whether it did.
+func (s *gateSet) expire(now time.Time, gate *upstream.Gate) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := gate.Announcement().ID
+	if !gate.Expired(now) || s.byID[id] != gate {
+		return false
 	}
-	gate.Drain()
-	cancel()
-	n.events.Add(event.Event{Kind: event.Gone, Upstream: id, Text: reason})
+	s.roster.Expire(now, id)
+	s.remove(id)
+	return true
+}
+
+// recordAnnouncement records that an upstream was added or changed.
+func (n *Node) recordAnnouncement(announcement upstream.Announcement) {
+	eventKind := event.Announce
+	if announcement.State == upstream.Draining {
+		eventKind = event.Drain
+	}
+	n.events.Add(event.Event{Kind: eventKind, Upstream: announcement.ID, Text: announcement.Service + " " + string(announcement.State)})
+	n.logAnnouncement(string(announcement.State), announcement, announcement.Service)
+}
+
+// recordRemoval records that the gate of an upstream was removed.
+func (n *Node) recordRemoval(gate *upstream.Gate, reason string) {
+	n.events.Add(event.Event{Kind: event.Gone, Upstream: gate.Announcement().ID, Text: reason})
 	n.logAnnouncement("gone", gate.Announcement(), reason)
-	n.announceUpstreams()
+}
+
+// logAnnouncement logs the result of an announcement.
+func (n *Node) logAnnouncement(result string, a upstream.Announcement, reason string) {
+	_ = level.Info(n.logger).Log("msg", "announcement", "result", result, "upstream", a.ID, "incarnation", a.Incarnation, "seq", a.Seq, "state", a.State, "why", reason)
+}
+
+// Withdraw implements upstream.Registry. It removes an upstream that leaves; the departure is recorded also if the upstream is unknown.
+func (n *Node) Withdraw(d upstream.Departure) error {
+	gate, err := n.gates.depart(time.Now(), d)
+	_ = level.Info(n.logger).Log("msg", "withdrawn", "upstream", d.ID, "incarnation", d.Incarnation, "known", gate != nil, "err", err)
+	var stale *upstream.StaleError
+	if errors.As(err, &stale) {
+		return nil // the incarnation that leaves has been replaced, so it gets no work
+	}
+	if err != nil {
+		return err
+	}
+	if gate != nil {
+		n.recordRemoval(gate, "left")
+		n.announceUpstreams()
+	}
+	return nil
 }
 
 // announceUpstreams announces the node's upstreams to the fleet.
@@ -206,24 +277,23 @@
 	if ctx.Err() != nil {
 		return
 	}
-	suspectsChanged := false
+	changed := false
 	for _, gate := range n.gates.all() {
-		if gate.Expired(now) {
-			id := gate.Announcement().ID
-			n.gates.mu.Lock()
-			n.gates.roster.Remove(now, id, false)
-			n.gates.mu.Unlock()
-			n.removeGate(id, "silent")
+		if n.gates.expire(now, gate) {
+			n.recordRemoval(gate, "silent")
+			delete(n.gates.announcedSuspect, gate)
+			changed = true
 			continue
 		}
 		suspect := gate.Suspect(now)
-		if suspect != n.gates.announcedSuspect[gate] {
-			n.recordHealthChange(gate, suspect)
+		if suspect == n.gates.announcedSuspect[gate] {
+			continue
 		}
-		suspectsChanged = suspectsChanged || suspect != n.gates.announcedSuspect[gate]
+		n.recordHealthChange(gate, suspect)
 		n.gates.announcedSuspect[gate] = suspect
+		changed = true
 	}
-	if suspectsChanged {
+	if changed {
 		n.announceUpstreams()
 	}
 }
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -58,6 +59,18 @@
 	return a.Seq < o.Seq
 }
 
+// drains reports whether the announcement says that the incarnation drains.
+func (a *Announcement) drains(incarnation uint64) bool {
+	return a.State == Draining && a.Incarnation == incarnation
+}
+
+// Departure is the word of an upstream that it leaves for good.
+type Departure struct {
+	ID             string
+	Incarnation    uint64 // the incarnation that leaves; 0 if the upstream doesn't name it
+	NewestPossible uint64 // no later incarnation can have sent the departure; 0 if that isn't known
+}
+
 // Receipt is the response to an announcement.
 type Receipt struct {
 	RenewMS int `json:"renew_ms"` // interval between renewals in milliseconds
@@ -100,8 +113,8 @@
 type Registry interface {
 	// Announce adds or renews an upstream and returns the number of its outstanding requests.
 	Announce(a Announcement) (running int, err error)
-	// Withdraw removes an upstream.
-	Withdraw(id string)
+	// Withdraw removes an upstream that leaves. After an error the departure is not recorded.
+	Withdraw(d Departure) error
 }
 
 // Mount adds the handlers of the announcement API to e.
@@ -124,7 +137,25 @@
 		return c.JSON(http.StatusOK, Receipt{RenewMS: int(RenewInterval.Milliseconds()), Running: n})
 	})
 	e.DELETE("/v1/upstreams/:id", func(c echo.Context) error {
-		reg.Withdraw(c.Param("id"))
+		d, err := departure(c.Param("id"), c.QueryParam("incarnation"))
+		if err != nil {
+			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+		}
+		if err := reg.Withdraw(d); err != nil {
+			return echo.NewHTTPError(http.StatusNotFound, err.Error())
+		}
 		return c.NoContent(http.StatusNoContent)
 	})
 }
+
+// departure returns the departure of the upstream with the id; the incarnation is optional.
+func departure(id, incarnation string) (Departure, error) {
+	if incarnation == "" {
+		return Departure{ID: id}, nil
+	}
+	number, err := strconv.ParseUint(incarnation, 10, 64)
+	if err != nil {
+		return Departure{}, &FieldError{field: "incarnation", requirement: "a number"}
+	}
+	return Departure{ID: id, Incarnation: number}, nil
+}
--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 )
@@ -11,7 +12,7 @@
 	tombstoneTTL  = 2 * time.Minute
 )
 
-// StaleError reports an announcement that was superseded by a later one or by the removal of the upstream.
+// StaleError reports an announcement or a departure that was superseded by a later one or by the removal of the upstream.
 type StaleError struct {
 	id, reason string
 }
@@ -19,13 +20,31 @@
 // Error implements error.
 func (e *StaleError) Error() string { return fmt.Sprintf("announcement of %s: %s", e.id, e.reason) }
 
+// UnidentifiedError reports a departure that doesn't tell which incarnation leaves, of an upstream that isn't known.
+type UnidentifiedError struct{ id string }
+
+// Error implements error.
+func (e *UnidentifiedError) Error() string {
+	return fmt.Sprintf("departure of %s: the upstream is unknown and its incarnation is not named", e.id)
+}
+
 // tombstone records an upstream that was removed or replaced.
 type tombstone struct {
-	lastAnnouncement Announcement
+	lastAnnouncement Announcement // only the id and the incarnation are set if the upstream left before it was known
 	removedAt        time.Time
 	final            bool // the incarnation ended for good: it deregistered, or another took its id or address
 }
 
+func (s *tombstone) current(now time.Time) bool { return now.Sub(s.removedAt) < tombstoneTTL }
+
+// rejects reports whether an announcement is of an incarnation that has ended, or older than the last one.
+func (s *tombstone) rejects(a Announcement) bool {
+	if a.olderThan(s.lastAnnouncement) {
+		return true
+	}
+	return s.final && a.numbered() && a.Incarnation <= s.lastAnnouncement.Incarnation
+}
+
 // Roster tracks the live upstreams and rejects stale announcements: a delayed one must not revive an ended incarnation.
 // The zero value is empty.
 type Roster struct {
@@ -36,58 +55,84 @@
 // Apply stores an announcement and returns the ids of the upstreams that it replaces.
 // The error is a *StaleError, after which the announcement must not be used.
 func (r *Roster) Apply(now time.Time, a Announcement) (replaced []string, err error) {
-	if old, ok := r.live[a.ID]; ok && a.olderThan(old) {
-		return nil, &StaleError{a.ID, "a later announcement was received already"}
-	}
-	if stone, ok := r.tombstones[a.ID]; ok && now.Sub(stone.removedAt) < tombstoneTTL {
-		if a.olderThan(stone.lastAnnouncement) || stone.final && a.numbered() && a.Incarnation <= stone.lastAnnouncement.Incarnation {
-			return nil, &StaleError{a.ID, "this incarnation has ended"}
+	old, isLive := r.live[a.ID]
+	if isLive && a.olderThan(old) {
+		if a.State != Draining || a.Incarnation != old.Incarnation {
+			return nil, &StaleError{a.ID, "a later announcement was received already"}
 		}
+		old.State = Draining // what an incarnation says of its leaving holds, however late it comes
+		r.live[a.ID] = old
+		return nil, nil
 	}
-	for id, old := range r.live {
-		if id == a.ID && a.Incarnation > old.Incarnation {
-			replaced = append(replaced, id)
-		}
-		if id == a.ID || old.Address != a.Address {
+	stone, removed := r.tombstones[a.ID]
+	removed = removed && stone.current(now)
+	if removed && stone.rejects(a) {
+		return nil, &StaleError{a.ID, "this incarnation has ended"}
+	}
+	if isLive && a.Incarnation > old.Incarnation {
+		replaced = append(replaced, a.ID)
+	}
+	for id, other := range r.live {
+		if id == a.ID || other.Address != a.Address {
 			continue
 		}
-		if a.Incarnation < old.Incarnation {
+		if a.Incarnation < other.Incarnation {
 			return nil, &StaleError{a.ID, "its address is in use by " + id}
 		}
 		replaced = append(replaced, id)
 	}
 	for _, id := range replaced {
-		r.Remove(now, id, true)
+		r.bury(now, r.live[id], true)
+	}
+	if isLive && old.drains(a.Incarnation) || removed && stone.lastAnnouncement.drains(a.Incarnation) {
+		a.State = Draining // an incarnation never returns from draining
 	}
 	if r.live == nil {
 		r.live = make(map[string]Announcement)
 	}
-	if old, ok := r.live[a.ID]; ok && old.State == Draining && old.Incarnation == a.Incarnation {
-		a.State = Draining // an incarnation never returns from draining
-	}
 	r.live[a.ID] = a
 	delete(r.tombstones, a.ID)
 	return replaced, nil
 }
 
-// Remove removes an upstream. If final is set, announcements of the same incarnation are rejected from then on.
-func (r *Roster) Remove(now time.Time, id string, final bool) {
-	last, ok := r.live[id]
-	if !ok {
-		if stone, removed := r.tombstones[id]; removed {
-			stone.final = stone.final || final
-			r.tombstones[id] = stone
-		}
-		return
+// Depart removes an upstream that leaves. Announcements of its incarnation are rejected from then on, even if it was not known.
+// The error is a *StaleError if a later incarnation is live, or an *UnidentifiedError, after which nothing is recorded.
+func (r *Roster) Depart(now time.Time, d Departure) error {
+	last, isLive := r.live[d.ID]
+	if isLive && d.Incarnation > 0 && d.Incarnation < last.Incarnation {
+		return &StaleError{d.ID, "a later incarnation is live"}
+	}
+	stone, removed := r.tombstones[d.ID]
+	if removed && !isLive {
+		last = stone.lastAnnouncement
 	}
-	delete(r.live, id)
+	ended := cmp.Or(d.Incarnation, d.NewestPossible)
+	if !isLive && !removed && ended == 0 {
+		return &UnidentifiedError{d.ID}
+	}
+	last.ID = d.ID
+	last.Incarnation = max(last.Incarnation, ended)
+	r.bury(now, last, true)
+	return nil
+}
+
+// Expire removes an upstream that stopped renewing its announcements; a later announcement of the same incarnation brings it back.
+func (r *Roster) Expire(now time.Time, id string) {
+	if last, ok := r.live[id]; ok {
+		r.bury(now, last, false)
+	}
+}
+
+// bury replaces the live announcement of an upstream, if there is one, by a tombstone.
+func (r *Roster) bury(now time.Time, last Announcement, final bool) {
+	delete(r.live, last.ID)
 	if r.tombstones == nil {
 		r.tombstones = make(map[string]tombstone)
 	}
-	if len(r.tombstones) >= maxTombstones {
+	if _, ok := r.tombstones[last.ID]; !ok && len(r.tombstones) >= maxTombstones {
 		r.evictOldest()
 	}
-	r.tombstones[id] = tombstone{lastAnnouncement: last, removedAt: now, final: final}
+	r.tombstones[last.ID] = tombstone{lastAnnouncement: last, removedAt: now, final: final}
 }
 
 // evictOldest drops the oldest tombstone.
--- a/upstream/roster_test.go
+++ b/upstream/roster_test.go
@@ -11,10 +11,10 @@
 
 func TestRosterRejectsEndedIncarnations(t *testing.T) {
 	type step struct {
-		end   string // the upstream to remove; empty for an announcement
-		final bool
-		a     upstream.Announcement
-		ok    bool
+		end    string // the upstream that falls silent; empty for an announcement or a departure
+		depart upstream.Departure
+		a      upstream.Announcement
+		ok     bool
 	}
 	announce := func(id string, incarnation, seq uint64, s upstream.State) upstream.Announcement {
 		return upstream.Announcement{ID: id, Service: "s", Address: "127.0.0.1:1", Slots: 1, Incarnation: incarnation, Seq: seq, State: s}
@@ -25,13 +25,13 @@
 	}{
 		{"a delayed announcement after the end", []step{
 			{a: announce("a", 1, 5, upstream.Ready), ok: true},
-			{end: "a", final: true},
+			{depart: upstream.Departure{ID: "a"}, ok: true},
 			{a: announce("a", 1, 4, upstream.Ready), ok: false},
 			{a: announce("a", 1, 6, upstream.Ready), ok: false},
 		}},
 		{"a start under the same id", []step{
 			{a: announce("a", 1, 5, upstream.Ready), ok: true},
-			{end: "a", final: true},
+			{depart: upstream.Departure{ID: "a"}, ok: true},
 			{a: announce("a", 2, 0, upstream.Ready), ok: true},
 			{a: announce("a", 1, 9, upstream.Ready), ok: false},
 		}},
@@ -40,6 +40,33 @@
 			{end: "a"},
 			{a: announce("a", 1, 5, upstream.Ready), ok: true},
 		}},
+		{"a departure before any announcement", []step{
+			{depart: upstream.Departure{ID: "a", NewestPossible: 7}, ok: true},
+			{a: announce("a", 1, 5, upstream.Ready), ok: false},
+			{a: announce("a", 7, 5, upstream.Ready), ok: false},
+			{a: announce("a", 8, 1, upstream.Ready), ok: true},
+		}},
+		{"a departure that names its incarnation", []step{
+			{depart: upstream.Departure{ID: "a", Incarnation: 3, NewestPossible: 7}, ok: true},
+			{a: announce("a", 3, 5, upstream.Ready), ok: false},
+			{a: announce("a", 4, 1, upstream.Ready), ok: true},
+		}},
+		{"a late departure of an earlier incarnation", []step{
+			{a: announce("a", 2, 1, upstream.Ready), ok: true},
+			{depart: upstream.Departure{ID: "a", Incarnation: 1}, ok: false},
+			{a: announce("a", 2, 2, upstream.Ready), ok: true},
+		}},
+		{"a departure of a later incarnation than the known one", []step{
+			{a: announce("a", 1, 5, upstream.Ready), ok: true},
+			{depart: upstream.Departure{ID: "a", NewestPossible: 9}, ok: true},
+			{a: announce("a", 8, 1, upstream.Ready), ok: false},
+		}},
+		{"a departure after a silence", []step{
+			{a: announce("a", 1, 5, upstream.Ready), ok: true},
+			{end: "a"},
+			{depart: upstream.Departure{ID: "a"}, ok: true},
+			{a: announce("a", 1, 6, upstream.Ready), ok: false},
+		}},
 		{"another one at the address", []step{
 			{a: announce("a", 1, 5, upstream.Ready), ok: true},
 			{a: announce("b", 2, 0, upstream.Ready), ok: true},
@@ -54,10 +81,15 @@
 			for _, s := range tt.steps {
 				now = now.Add(time.Second)
 				if s.end != "" {
-					r.Remove(now, s.end, s.final)
+					r.Expire(now, s.end)
 					continue
 				}
-				_, err := r.Apply(now, s.a)
+				var err error
+				if s.depart.ID != "" {
+					err = r.Depart(now, s.depart)
+				} else {
+					_, err = r.Apply(now, s.a)
+				}
 				var stale *upstream.StaleError
 				is.Equal(err == nil, s.ok)
 				is.Equal(errors.As(err, &stale), !s.ok)
@@ -66,16 +98,41 @@
 	}
 }
 
-func TestRosterKeepsDrainingIncarnation(t *testing.T) {
+func TestRosterRefusesDeparturesThatItCannotIdentify(t *testing.T) {
 	is := is.New(t)
 	var r upstream.Roster
-	now := time.Unix(0, 0)
-	a := upstream.Announcement{ID: "a", Address: "127.0.0.1:1", Incarnation: 1, Seq: 1, State: upstream.Draining}
-	_, err := r.Apply(now, a)
-	is.NoErr(err)
-	a.Seq, a.State = 2, upstream.Ready
-	_, err = r.Apply(now, a)
-	is.NoErr(err)
-	got, _ := r.Current("a")
-	is.Equal(got.State, upstream.Draining)
+	var unidentified *upstream.UnidentifiedError
+	err := r.Depart(time.Unix(0, 0), upstream.Departure{ID: "a"})
+	is.True(errors.As(err, &unidentified))
+}
+
+func TestRosterKeepsDrainingIncarnation(t *testing.T) {
+	announce := func(seq uint64, s upstream.State) upstream.Announcement {
+		return upstream.Announcement{ID: "a", Address: "127.0.0.1:1", Incarnation: 1, Seq: seq, State: s}
+	}
+	tests := []struct {
+		name  string
+		steps []upstream.Announcement // one of seq 0 stands for a silence
+	}{
+		{"in order", []upstream.Announcement{announce(1, upstream.Draining), announce(2, upstream.Ready)}},
+		{"after a silence", []upstream.Announcement{announce(1, upstream.Draining), {}, announce(2, upstream.Ready)}},
+		{"the draining one comes late", []upstream.Announcement{announce(2, upstream.Ready), announce(1, upstream.Draining), announce(3, upstream.Ready)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var r upstream.Roster
+			now := time.Unix(0, 0)
+			for _, a := range tt.steps {
+				if a.Seq == 0 {
+					r.Expire(now, "a")
+					continue
+				}
+				_, err := r.Apply(now, a)
+				is.NoErr(err)
+			}
+			got, _ := r.Current("a")
+			is.Equal(got.State, upstream.Draining)
+		})
+	}
 }
