An acknowledged departure outlives the process that acknowledged it

Cause: the promise was kept in the memory of one process. Change: a member's record lists its departures; a node acknowledges one when another node has received the record (within 0.3 s); nodes that knew the earlier record of a node tell its next process, which takes announcements after it has heard from one of them (0.5 s at most after its start). Why it works: at the acknowledgement two processes know of the departure, and the next process asks before it opens a gate. Not bridged: the end of all processes that know. Weighed: a record in the store (a priced call a departure, and none while it is away); waiting for two announcements (doesn't help against two late ones).

--- /dev/null
+++ b/membership/departure.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"slices"
+)
+
+// Departure is the leaving of an upstream that a node has acknowledged. It binds later processes of the node, too, so other nodes keep it.
+type Departure struct {
+	ID          string
+	Incarnation uint64 // the newest incarnation of the upstream that has left
+}
+
+// missingDepartures returns the departures of all that are not among known.
+func missingDepartures(all, known []Departure) []Departure {
+	return slices.DeleteFunc(slices.Clone(all), func(d Departure) bool { return slices.Contains(known, d) })
+}
+
+// updateOwed notes the departures that earlier processes of the node acknowledged and that its record next doesn't list: its current
+// process must be told of them.
+func (m *memberState) updateOwed(next *Member) {
+	if m.own {
+		return
+	}
+	if next.Incarnation > m.Incarnation {
+		m.owed = append(m.owed, missingDepartures(m.Departures, m.owed)...)
+	}
+	m.owed = missingDepartures(m.owed, next.Departures)
+}
+
+// appendOwed appends to records one with the departures that the node must be told of. The node takes nothing else from it, since it is
+// older than the node's own record.
+func (m *memberState) appendOwed(records []Member) []Member {
+	if len(m.owed) == 0 {
+		return records
+	}
+	return append(records, Member{Name: m.Name, Departures: slices.Clone(m.owed)})
+}
+
+// settleOwed forgets the departures that the node has been told of.
+func (m *memberState) settleOwed(sent []Member) {
+	for _, record := range sent {
+		if record.Name == m.Name {
+			m.owed = missingDepartures(m.owed, record.Departures)
+		}
+	}
+}
+
+// recall adds the departures that earlier processes of this node acknowledged to the output.
+func (e *Engine) recall(m Member) {
+	e.output.Recalled = append(e.output.Recalled, missingDepartures(m.Departures, e.self.Departures)...)
+}
+
+// recordConfirmation notes which version of this node's own record another node has received.
+func (e *Engine) recordConfirmation(sent []Member) {
+	for _, m := range sent {
+		if m.Name == e.self.Name && m.Incarnation == e.self.Incarnation {
+			e.confirmedSeq = max(e.confirmedSeq, m.Seq)
+		}
+	}
+}
+
+// Confirmed reports whether another node has received the current record of this node; true if no other live node is known.
+func (e *Engine) Confirmed() bool {
+	others := e.index.live
+	if e.self.live() {
+		others--
+	}
+	return others == 0 || e.confirmedSeq >= e.self.Seq
+}
--- a/membership/engine.go
+++ b/membership/engine.go
@@ -59,7 +59,8 @@
 	Heartbeats []OutgoingHeartbeat
 	Probes     []IndirectProbe
 	Changes    []MemberChange
-	Removed    []string // names of the nodes whose records were removed, long after they died or left
+	Recalled   []Departure // departures that earlier processes of this node acknowledged
+	Removed    []string    // names of the nodes whose records were removed, long after they died or left
 }
 
 type memberState struct {
@@ -69,10 +70,11 @@
 	sentAt           time.Time // time of the last heartbeat to the node
 	changedAt        time.Time // time when this node last changed the record
 	failedHeartbeats int
-	nextHeartbeat    time.Time // due time of the next heartbeat to the node
-	probeDeadline    time.Time // deadline of the pending indirect probes; zero if there are none
-	reachableUntil   time.Time // until this time the node is not declared dead, because an indirect probe reached it
-	pendingRecords   []string  // names of the nodes whose records are to be sent to this node
+	nextHeartbeat    time.Time   // due time of the next heartbeat to the node
+	probeDeadline    time.Time   // deadline of the pending indirect probes; zero if there are none
+	reachableUntil   time.Time   // until this time the node is not declared dead, because an indirect probe reached it
+	pendingRecords   []string    // names of the nodes whose records are to be sent to this node
+	owed             []Departure // departures that earlier processes of the node acknowledged and that it must be told of
 }
 
 // inRing reports whether the node is in the ring of its data centre; this node always is.
@@ -93,6 +95,7 @@
 	neighbours      []*memberState // nodes to which this node sends regular heartbeats and new records
 	neighboursStale bool           // neighbours must be chosen again before they are used
 	waiting         []*memberState // nodes to which records are pending
+	confirmedSeq    uint64         // newest sequence number of this node's record that another node has received
 	output          Output
 }
 
@@ -154,12 +157,12 @@
 	return output
 }
 
-// SetUpstreams announces the upstreams that the node serves.
-func (e *Engine) SetUpstreams(now time.Time, upstreams []Upstream) {
+// SetUpstreams announces the upstreams that the node serves, and those that have left it.
+func (e *Engine) SetUpstreams(now time.Time, upstreams []Upstream, departures []Departure) {
 	next := e.self.Member
-	next.Upstreams = slices.Clone(upstreams)
+	next.Upstreams, next.Departures = slices.Clone(upstreams), slices.Clone(departures)
 	switch {
-	case slices.Equal(next.Upstreams, e.self.Upstreams):
+	case slices.Equal(next.Upstreams, e.self.Upstreams) && slices.Equal(next.Departures, e.self.Departures):
 		return
 	case next.sameButHealth(&e.self.Member):
 		next.HealthSeq++
@@ -195,6 +198,7 @@
 		if m.Incarnation != state.Incarnation || m.Address != state.Address {
 			state.failedHeartbeats, state.probeDeadline = 0, time.Time{}
 		}
+		state.updateOwed(&m)
 		e.index.replace(state, m)
 	}
 	e.toggleSum(state)
@@ -213,6 +217,7 @@
 func (e *Engine) merge(now time.Time, records []Member, from string) {
 	for _, m := range records {
 		if m.Name == e.self.Name {
+			e.recall(m)
 			e.refute(now, m)
 			continue
 		}
@@ -311,7 +316,7 @@
 	jitter := time.Duration(e.rnd.Int64N(int64(interval) / 5))
 	m.nextHeartbeat, m.sentAt = now.Add(interval-interval/10+jitter), now
 	msg := e.newMessage()
-	msg.Members = e.takePendingRecords(m)
+	msg.Members = m.appendOwed(e.takePendingRecords(m))
 	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Name: m.Name, Address: m.Address, Message: msg})
 }
 
@@ -320,7 +325,7 @@
 	e.merge(now, msg.Members, msg.Name)
 	resp := e.newMessage()
 	if m := e.index.byName[msg.Name]; m != nil {
-		resp.Members = e.takePendingRecords(m)
+		resp.Members = m.appendOwed(e.takePendingRecords(m))
 	}
 	if len(msg.BucketSums) == bucketCount {
 		resp.Members = append(resp.Members, e.recordsInDifferingBuckets(msg.BucketSums)...)
@@ -354,8 +359,10 @@
 			e.declareDead(now, m) // another node now has this address
 		}
 		m.failedHeartbeats, m.probeDeadline = 0, time.Time{}
+		m.settleOwed(heartbeat.Message.Members)
 		e.requestRefutation(now, m, resp)
 	}
+	e.recordConfirmation(heartbeat.Message.Members)
 	e.merge(now, resp.Members, resp.Name)
 	if m := e.index.byName[resp.Name]; m != nil && resp.Digest != e.digest() && m.nextHeartbeat.After(now.Add(settleTime)) {
 		m.nextHeartbeat = now.Add(settleTime) // compare the views again soon
--- a/membership/engine_test.go
+++ b/membership/engine_test.go
@@ -22,10 +22,11 @@
 	nodes    map[string]*membership.Engine // engines by address
 	cutLinks map[[2]string]bool
 	lossRate float64
+	recalled map[string][]membership.Departure // departures that nodes were told of, by name
 }
 
 func newSimNetwork(seed uint64, n int, dcs int) *simNetwork {
-	net := &simNetwork{now: epoch, rnd: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*membership.Engine), cutLinks: make(map[[2]string]bool)}
+	net := &simNetwork{now: epoch, rnd: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[string]*membership.Engine), cutLinks: make(map[[2]string]bool), recalled: make(map[string][]membership.Departure)}
 	for i := range n {
 		net.add(fmt.Sprintf("n%02d", i), i%dcs, 1)
 	}
@@ -51,6 +52,7 @@
 			e.Tick(net.now)
 			for round := 0; round < 4; round++ {
 				out := e.TakeOutput()
+				net.recalled[addr] = append(net.recalled[addr], out.Recalled...)
 				for _, s := range out.Heartbeats {
 					net.send(addr, e, s)
 				}
@@ -118,7 +120,7 @@
 				net.add(a, 0, incarnation) // a new run of the node under the same name and address
 			case 3:
 				if e := net.nodes[a]; e != nil {
-					e.SetUpstreams(net.now, []membership.Upstream{{ID: b, Service: "s", Slots: 1, State: membership.Ready}})
+					e.SetUpstreams(net.now, []membership.Upstream{{ID: b, Service: "s", Slots: 1, State: membership.Ready}}, nil)
 				}
 			default:
 				net.run(time.Duration(rapid.IntRange(1, 50).Draw(t, "ticks")) * 100 * time.Millisecond)
--- a/membership/member.go
+++ b/membership/member.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -66,6 +67,7 @@
 	DataCentre  string
 	Address     string
 	Upstreams   []Upstream
+	Departures  []Departure // upstreams whose leaving this or an earlier process of the node has acknowledged
 }
 
 // Newer reports whether m is a newer record of the node than other.
@@ -84,7 +86,7 @@
 
 // sameButHealth reports whether two records differ in nothing but the Suspect flags of upstreams.
 func (m *Member) sameButHealth(other *Member) bool {
-	if m.Incarnation != other.Incarnation || m.Seq != other.Seq || m.Status != other.Status || m.Address != other.Address || len(m.Upstreams) != len(other.Upstreams) {
+	if m.Incarnation != other.Incarnation || m.Seq != other.Seq || m.Status != other.Status || m.Address != other.Address || len(m.Upstreams) != len(other.Upstreams) || !slices.Equal(m.Departures, other.Departures) {
 		return false
 	}
 	for i, u := range m.Upstreams {
--- a/membership/region_test.go
+++ b/membership/region_test.go
@@ -24,8 +24,10 @@
 		change   func(e *membership.Engine, now time.Time)
 		wantSent bool
 	}{
-		{"a suspicion", func(e *membership.Engine, now time.Time) { e.SetUpstreams(now, upstreams(membership.Ready, true)) }, false},
-		{"a draining upstream", func(e *membership.Engine, now time.Time) { e.SetUpstreams(now, upstreams(membership.Draining, false)) }, true},
+		{"a suspicion", func(e *membership.Engine, now time.Time) { e.SetUpstreams(now, upstreams(membership.Ready, true), nil) }, false},
+		{"a draining upstream", func(e *membership.Engine, now time.Time) {
+			e.SetUpstreams(now, upstreams(membership.Draining, false), nil)
+		}, true},
 		{"a node that leaves", func(e *membership.Engine, now time.Time) { e.SetStatus(now, membership.Leaving) }, true},
 	}
 	for _, tt := range tests {
@@ -36,7 +38,7 @@
 			e := membership.New(now, self, nil, rand.New(rand.NewPCG(1, 1)))
 			remote := membership.Member{Name: "b", Incarnation: 1, Seq: 1, Status: membership.Alive, Region: "r2", DataCentre: "d2", Address: "b:1"}
 			e.ReceiveHeartbeat(now, membership.Message{Name: "b", Members: []membership.Member{remote}})
-			e.SetUpstreams(now, upstreams(membership.Ready, false))
+			e.SetUpstreams(now, upstreams(membership.Ready, false), nil)
 			e.Tick(now)
 			e.Flush(now)
 			e.TakeOutput()
--- a/membership/scale_test.go
+++ b/membership/scale_test.go
@@ -90,7 +90,7 @@
 func (f *largeFleet) flip(name string) {
 	upstreams := slices.Clone(f.engines[name].Self().Upstreams)
 	upstreams[0].Suspect = !upstreams[0].Suspect
-	f.engines[name].SetUpstreams(f.now, upstreams)
+	f.engines[name].SetUpstreams(f.now, upstreams, nil)
 	f.engines[name].Flush(f.now)
 }
 
--- /dev/null
+++ b/node/departure.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/upstream"
+)
+
+// Limits of the waits by which a departure outlives the process that acknowledged it.
+const (
+	confirmTimeout = 300 * time.Millisecond // maximum time for another node to confirm a departure before it is acknowledged
+	recallTimeout  = 500 * time.Millisecond // time from the start after which a node no longer waits to hear of earlier departures
+)
+
+// departures returns the departures that the node has acknowledged, in the form that the membership announces to the fleet.
+func (s *gateSet) departures(now time.Time) []membership.Departure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var departures []membership.Departure
+	for _, d := range s.roster.Departures(now) {
+		departures = append(departures, membership.Departure{ID: d.ID, Incarnation: d.Incarnation})
+	}
+	return departures
+}
+
+// awaitConfirmation waits until another node has received the departures of this one, so that they are known also if this process ends.
+func (n *Node) awaitConfirmation(upstreamID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	confirmed := func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.members.Confirmed()
+	}
+	n.waitUntil(ctx, confirmed)
+	if ctx.Err() != nil {
+		_ = level.Warn(n.logger).Log("msg", "departure not confirmed by another node", "upstream", upstreamID)
+	}
+}
+
+// awaitRecall waits until the node has heard from another one, which tells it of the departures that its earlier processes acknowledged.
+func (n *Node) awaitRecall() {
+	if n.recalled.Load() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), n.startedAt.Add(recallTimeout))
+	defer cancel()
+	n.waitUntil(ctx, n.recalled.Load)
+	n.recalled.Store(true)
+}
+
+// recallDepartures applies departures that earlier processes of this node acknowledged.
+func (n *Node) recallDepartures(departures []membership.Departure) {
+	now := time.Now()
+	for _, d := range departures {
+		gate, err := n.gates.depart(now, upstream.Departure{ID: d.ID, Incarnation: d.Incarnation})
+		_ = level.Info(n.logger).Log("msg", "departure recalled", "upstream", d.ID, "incarnation", d.Incarnation, "err", err)
+		if gate != nil {
+			n.recordRemoval(gate, "left before this process started")
+		}
+	}
+	n.announceUpstreams()
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -61,6 +61,9 @@
 	n.mu.Lock()
 	n.members.SetSeeds(seeds)
 	n.mu.Unlock()
+	if len(seeds) == 0 {
+		n.recalled.Store(true) // there is nobody to hear from
+	}
 	_ = level.Info(n.logger).Log("msg", "directory read", "contacts", len(contacts))
 	return contacts, nil
 }
--- a/node/gates.go
+++ b/node/gates.go
@@ -83,6 +83,9 @@
 
 // Announce implements upstream.Registry. It adds or renews an upstream and returns the number of its unfinished requests.
 func (n *Node) Announce(announcement upstream.Announcement) (int, error) {
+	if announcement.State != upstream.Draining {
+		n.awaitRecall()
+	}
 	if err := n.checkAnnouncement(announcement); err != nil {
 		n.logAnnouncement("ignored", announcement, err.Error())
 		return 0, nil // no work is sent to it, so its announcement changes nothing
@@ -105,6 +108,9 @@
 	if applied.changed || len(applied.replaced) > 0 {
 		n.announceUpstreams()
 	}
+	if applied.changed && announcement.State == upstream.Draining {
+		n.awaitConfirmation(announcement.ID)
+	}
 	return applied.gate.Outstanding(), nil
 }
 
@@ -243,8 +249,9 @@
 	}
 	if gate != nil {
 		n.recordRemoval(gate, "left")
-		n.announceUpstreams()
 	}
+	n.announceUpstreams()
+	n.awaitConfirmation(d.ID)
 	return nil
 }
 
@@ -252,7 +259,7 @@
 func (n *Node) announceUpstreams() {
 	now := time.Now()
 	n.mu.Lock()
-	n.members.SetUpstreams(now, n.gates.memberUpstreams())
+	n.members.SetUpstreams(now, n.gates.memberUpstreams(), n.gates.departures(now))
 	n.members.Flush(now)
 	output := n.members.TakeOutput()
 	n.mu.Unlock()
--- a/node/members.go
+++ b/node/members.go
@@ -49,6 +49,9 @@
 
 // handleMembershipOutput applies the member changes of the membership engine and sends its heartbeats and probes.
 func (n *Node) handleMembershipOutput(output membership.Output) {
+	if len(output.Recalled) > 0 {
+		n.recallDepartures(output.Recalled)
+	}
 	if len(output.Changes)+len(output.Removed) > 0 {
 		n.applyMemberChanges(output)
 	}
@@ -93,6 +96,7 @@
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
 	if err == nil {
+		n.recalled.Store(true)
 		n.applyHeartbeatLog(resp, s.Address)
 	}
 	return resp, err
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,8 @@
 	keys         keyStore
 	unresponsive unresponsiveNodes
 	limits       rateLimits
+	startedAt    time.Time
+	recalled     atomic.Bool // whether the node knows the departures that its earlier processes acknowledged
 	stopping     atomic.Bool
 	running      sync.WaitGroup
 }
@@ -82,7 +84,7 @@
 
 // New returns a node that listens on its addresses but does not serve requests until Run is called.
 func New(cfg Settings, opt Options) (*Node, error) {
-	n := &Node{cfg: cfg, logger: opt.Logger, logService: opt.Log}
+	n := &Node{cfg: cfg, logger: opt.Logger, logService: opt.Log, startedAt: time.Now()}
 	if n.logger == nil {
 		n.logger = log.NewNopLogger()
 	}
@@ -94,7 +96,8 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	n.recalled.Store(!n.protocols.hasConfigSource() && len(cfg.Peers.Seeds) == 0)
+	now := n.startedAt
 	seed := uint64(now.UnixNano())
 	n.events = event.NewRing(cfg.Name, &n.clock, cfg.Limits.Events)
 	n.client = peer.NewClient(opt.Dial)
--- a/node/run.go
+++ b/node/run.go
@@ -166,7 +166,7 @@
 	n.mu.Lock()
 	leaveTime := time.Now()
 	n.members.SetStatus(leaveTime, membership.Leaving)
-	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams())
+	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams(), n.gates.departures(leaveTime))
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout())
 	defer cancel()
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -97,6 +97,9 @@
 			Suspect: u.Suspect,
 		})
 	}
+	for _, d := range m.Departures {
+		p.Departures = append(p.Departures, &peerv1.Departure{Id: d.ID, Incarnation: d.Incarnation})
+	}
 	return p
 }
 
@@ -120,6 +123,9 @@
 			Suspect: u.GetSuspect(),
 		})
 	}
+	for _, d := range p.GetDepartures() {
+		m.Departures = append(m.Departures, membership.Departure{ID: d.GetId(), Incarnation: d.GetIncarnation()})
+	}
 	return m
 }
 
--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 const (
 	maxTombstones = 256
 	tombstoneTTL  = 2 * time.Minute
+	maxDepartures = 16 // number of departures that Departures returns
 )
 
 // StaleError reports an announcement or a departure that was superseded by a later one or by the removal of the upstream.
@@ -151,3 +153,29 @@
 	a, ok := r.live[id]
 	return a, ok
 }
+
+// Departures returns the newest departures that were acknowledged, with the incarnations that have left or drain, sorted by id.
+// Upstreams that don't number their incarnations are left out.
+func (r *Roster) Departures(now time.Time) []Departure {
+	var newest []tombstone
+	for _, a := range r.live {
+		if a.State == Draining {
+			newest = append(newest, tombstone{lastAnnouncement: a, removedAt: now})
+		}
+	}
+	for _, stone := range r.tombstones {
+		if stone.current(now) && (stone.final || stone.lastAnnouncement.State == Draining) {
+			newest = append(newest, stone)
+		}
+	}
+	newest = slices.DeleteFunc(newest, func(s tombstone) bool { return s.lastAnnouncement.Incarnation == 0 })
+	slices.SortFunc(newest, func(a, b tombstone) int {
+		return cmp.Or(b.removedAt.Compare(a.removedAt), cmp.Compare(a.lastAnnouncement.ID, b.lastAnnouncement.ID))
+	})
+	var departures []Departure
+	for _, stone := range newest[:min(len(newest), maxDepartures)] {
+		departures = append(departures, Departure{ID: stone.lastAnnouncement.ID, Incarnation: stone.lastAnnouncement.Incarnation})
+	}
+	slices.SortFunc(departures, func(a, b Departure) int { return cmp.Compare(a.ID, b.ID) })
+	return departures
+}
