--- a/membership/departure.go
+++ b/membership/departure.go
@@ -1,8 +1,6 @@
 package membership
 
-import (
-	"slices"
-)
+import "slices"
 
 // Departure is the leaving of an upstream that a node has acknowledged. It binds later processes of the node, too, so other nodes keep it.
 type Departure struct {
@@ -10,9 +8,16 @@
 	Incarnation uint64 // the newest incarnation of the upstream that has left
 }
 
-// missingDepartures returns the departures of all that are not among known.
+// covers reports whether d says as much as other: of the same upstream, no older incarnation.
+func (d Departure) covers(other Departure) bool {
+	return d.ID == other.ID && d.Incarnation >= other.Incarnation
+}
+
+// missingDepartures returns the departures of all that none of known covers.
 func missingDepartures(all, known []Departure) []Departure {
-	return slices.DeleteFunc(slices.Clone(all), func(d Departure) bool { return slices.Contains(known, d) })
+	return slices.DeleteFunc(slices.Clone(all), func(d Departure) bool {
+		return slices.ContainsFunc(known, func(k Departure) bool { return k.covers(d) })
+	})
 }
 
 // updateOwed notes the departures that earlier processes of the node acknowledged and that its record next doesn't list: its current
