A stopping node cuts no request that it has taken

Causes: (1) net/http drops a request that it reads after Shutdown has begun, and the kernel resets connections that wait when a listener closes; (2) a request was taken in the lame-duck period whatever its time limit, and cut when the grace ended. The peers' port ends in the same way. A cancelled request starts no further attempt. Moved: node/stop.go takes the stop out of run.go.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -83,7 +83,7 @@
 			if d.isFinal(res) {
 				return d.finish(res)
 			}
-			if d.prepareRetry(res) && d.launchAttempt(ctx, false) == nil {
+			if ctx.Err() == nil && d.prepareRetry(res) && d.launchAttempt(ctx, false) == nil {
 				continue
 			}
 			if d.pendingAttempts == 0 {
--- a/node/limit.go
+++ b/node/limit.go
@@ -25,8 +25,11 @@
 	linkLimiter    *rate.Limiter    // limits the bytes a second exchanged with other regions; nil for no limit
 }
 
-// Admit implements caller.Fleet. It rejects the request if its caller has exceeded its rate limit.
+// Admit implements caller.Fleet. It rejects the request if the node stops and can't serve it in time, or if its caller has exceeded its rate limit.
 func (n *Node) Admit(r *caller.Request) error {
+	if err := n.limitByStop(r); err != nil {
+		return err
+	}
 	callerConfig := n.Bundle().Caller(r.Caller)
 	if callerConfig == nil {
 		return nil
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -20,6 +19,7 @@
 	"github.com/jasminevane/jasminevane/platform"
 	"github.com/jasminevane/jasminevane/quota"
 	"github.com/jasminevane/jasminevane/rollout"
+	"github.com/jasminevane/jasminevane/tcp"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
@@ -75,11 +75,13 @@
 	startedAt    time.Time
 	recalled     atomic.Bool // whether the node knows the departures that its earlier processes acknowledged
 	stopping     atomic.Bool
+	stopPlan     atomic.Pointer[stopPlan] // nil until the node stops
 	running      sync.WaitGroup
 }
 
 type listeners struct {
-	caller, peer, upstream, admin, ready net.Listener
+	caller, peer, upstream, admin *tcp.Listener
+	ready                         *tcp.Listener // nil if the settings name no address
 }
 
 // New returns a node that listens on its addresses but does not serve requests until Run is called.
@@ -138,7 +140,7 @@
 func (n *Node) listen() error {
 	for _, l := range []struct {
 		key, addr string
-		listener  *net.Listener
+		listener  **tcp.Listener
 	}{
 		{"listen.caller", n.cfg.Listen.Caller, &n.listeners.caller},
 		{"listen.peer", n.cfg.Listen.Peer, &n.listeners.peer},
@@ -149,7 +151,7 @@
 		if l.addr == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", l.addr)
+		ln, err := tcp.Listen(l.addr)
 		if err != nil {
 			n.closeListeners()
 			return errors.Wrap(err, l.key)
@@ -160,7 +162,7 @@
 }
 
 func (n *Node) closeListeners() {
-	for _, ln := range []net.Listener{n.listeners.caller, n.listeners.peer, n.listeners.upstream, n.listeners.admin, n.listeners.ready} {
+	for _, ln := range []*tcp.Listener{n.listeners.caller, n.listeners.peer, n.listeners.upstream, n.listeners.admin, n.listeners.ready} {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -190,7 +192,8 @@
 
 // servers holds the HTTP servers of one node.
 type servers struct {
-	caller, peer, upstream, admin, ready *http.Server
+	caller, peer           *drainableServer
+	upstream, admin, ready *http.Server
 }
 
 func (n *Node) newServers() servers {
@@ -201,8 +204,8 @@
 	readinessAPI := echo.New()
 	platform.MountReady(readinessAPI, n.ready)
 	return servers{
-		caller:   n.newServer(n.callerMiddleware(callerAPI), true),
-		peer:     n.newServer(n.peerHandler(), true),
+		caller:   newDrainableServer(n.newServer(n.callerMiddleware(callerAPI), true), n.listeners.caller),
+		peer:     newDrainableServer(n.newServer(n.peerHandler(), true), n.listeners.peer),
 		upstream: n.newServer(upstreamAPI, false),
 		admin:    n.newServer(n.adminHandler(), false),
 		ready:    n.newServer(readinessAPI, false),
--- a/node/run.go
+++ b/node/run.go
@@ -19,11 +19,9 @@
 	ownershipTickInterval  = 200 * time.Millisecond
 	gaugeUpdateInterval    = time.Second
 	gateSweepInterval      = 100 * time.Millisecond
-	nonStreamingIOTimeout  = 30 * time.Second       // maximum time to read a request or write a response on ports without streaming
-	idleTimeout            = 2 * time.Minute        // maximum time that a connection may be idle
-	drainHandoverTimeout   = 3 * time.Second        // maximum time to hand over the shards during a drain
-	conditionPollInterval  = 10 * time.Millisecond  // interval between checks in waitUntil
-	shutdownTimeout        = 200 * time.Millisecond // maximum time for goroutines to end after the servers are closed
+	nonStreamingIOTimeout  = 30 * time.Second      // maximum time to read a request or write a response on ports without streaming
+	idleTimeout            = 2 * time.Minute       // maximum time that a connection may be idle
+	conditionPollInterval  = 10 * time.Millisecond // interval between checks in waitUntil
 )
 
 func (n *Node) newServer(handler http.Handler, streaming bool) *http.Server {
@@ -64,18 +62,18 @@
 		n.running.Add(1)
 		go func() {
 			defer n.running.Done()
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !n.stopping.Load() {
 				serveErrs <- err
 			}
 		}()
 	}
-	serve(servers.peer, n.listeners.peer)
+	serve(servers.peer.Server, n.listeners.peer)
 	serve(servers.upstream, n.listeners.upstream)
 	serve(servers.admin, n.listeners.admin)
 	if n.listeners.ready != nil {
 		serve(servers.ready, n.listeners.ready)
 	}
-	serve(servers.caller, n.listeners.caller)
+	serve(servers.caller.Server, n.listeners.caller)
 	n.mu.Lock()
 	self := n.members.Self()
 	n.mu.Unlock()
@@ -86,11 +84,11 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		n.drain(servers)
+		n.stop(servers)
 	case err = <-serveErrs:
 	}
 	cancel()
-	for _, server := range []*http.Server{servers.caller, servers.peer, servers.upstream, servers.admin, servers.ready} {
+	for _, server := range []*http.Server{servers.caller.Server, servers.peer.Server, servers.upstream, servers.admin, servers.ready} {
 		_ = server.Close()
 	}
 	n.stopGates()
@@ -99,22 +97,6 @@
 	return errors.Wrap(err, "serve")
 }
 
-// awaitStopped waits up to shutdownTimeout for the node's goroutines and logs that the node has stopped.
-func (n *Node) awaitStopped(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		n.running.Wait()
-		close(done)
-	}()
-	unfinished := false
-	select {
-	case <-done:
-	case <-time.After(shutdownTimeout):
-		unfinished = true
-	}
-	_ = level.Info(n.logger).Log("msg", "stopped", "signal", ctx.Err() != nil, "unfinished", unfinished, "running", n.gates.runningRequests())
-}
-
 func (n *Node) startLoops(ctx context.Context) {
 	n.runEvery(ctx, membershipTickInterval, n.tickMembership)
 	n.runEvery(ctx, gaugeUpdateInterval, n.updateEjectedGauge)
@@ -156,51 +138,6 @@
 	}()
 }
 
-// drain stops the node gracefully. It announces that the node is leaving, accepts new requests during the lame-duck period,
-// waits for running requests and hands over the shards.
-func (n *Node) drain(servers servers) {
-	_ = level.Info(n.logger).Log("msg", "stopping")
-	n.events.Add(event.Event{Kind: event.Stop})
-	n.stopping.Store(true)
-	n.gates.drain()
-	n.mu.Lock()
-	leaveTime := time.Now()
-	n.members.SetStatus(leaveTime, membership.Leaving)
-	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams(), n.gates.departures(leaveTime))
-	n.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), n.cfg.DrainTimeout())
-	defer cancel()
-	n.sleep(ctx, n.cfg.Limits.LameDuck.Std())
-	_ = servers.caller.Shutdown(ctx)
-	if !n.protocols.hasConfigSource() {
-		n.handOverShards(ctx)
-	}
-	n.waitUntil(ctx, func() bool { return n.gates.runningRequests() == 0 })
-	n.mu.Lock()
-	n.members.SetStatus(time.Now(), membership.Left)
-	n.mu.Unlock()
-	n.tickMembership(ctx, time.Now())
-	_ = servers.upstream.Shutdown(ctx)
-	_ = servers.peer.Shutdown(ctx)
-	time.Sleep(2 * membershipTickInterval) // lets the last heartbeats be sent
-}
-
-// handOverShards waits for pending requests with idempotency keys, then hands over the node's shards to other nodes.
-// The node must still respond to its peers meanwhile.
-func (n *Node) handOverShards(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, drainHandoverTimeout)
-	defer cancel()
-	n.waitUntil(ctx, func() bool { return n.keys.pending() == 0 })
-	n.mu.Lock()
-	n.owners.Leave()
-	n.mu.Unlock()
-	n.waitUntil(ctx, func() bool {
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		return n.owners.OwnedShards() == 0
-	})
-}
-
 func (n *Node) waitUntil(ctx context.Context, cond func() bool) {
 	for !cond() {
 		select {
@@ -223,7 +160,7 @@
 	n.waitUntil(ctx, func() bool { return n.Bundle().Len() > 0 })
 }
 
-// callerMiddleware delays requests until the node has its first bundle. While the node drains, it closes the connections
+// callerMiddleware delays requests until the node has its first bundle. While the node stops, it closes the connections
 // after their responses, so that callers reconnect to another node.
 func (n *Node) callerMiddleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/caller"
+	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/tcp"
+	"github.com/pkg/errors"
+)
+
+// Times of a stop.
+const (
+	drainHandoverTimeout = 3 * time.Second        // maximum time to hand over the shards
+	firstRequestTimeout  = 500 * time.Millisecond // a new connection without a request for this long counts as idle
+	answerTime           = 150 * time.Millisecond // time to send the responses of requests that were ended
+	shutdownTimeout      = 200 * time.Millisecond // maximum time for goroutines to end after the servers are closed
+	stopRetryAfter       = 50 * time.Millisecond  // value of the Retry-After header: another node can serve the request at once
+)
+
+// stopPlan tells what a stopping node does with a request. The zero value is the plan of a node that doesn't stop.
+type stopPlan struct {
+	refuseAt time.Time // from then on requests are refused
+	endAt    time.Time // requests that still run are ended then
+}
+
+func newStopPlan(now time.Time, lameDuck, drain time.Duration) stopPlan {
+	return stopPlan{refuseAt: now.Add(lameDuck), endAt: now.Add(drain)}
+}
+
+// takes reports whether a request that typically takes the given time, or 0 if that is unknown, is taken at now.
+func (p stopPlan) takes(now time.Time, typical time.Duration) bool {
+	if p.endAt.IsZero() {
+		return true
+	}
+	return now.Before(p.refuseAt) && now.Add(typical).Before(p.endAt)
+}
+
+// deadline returns the deadline of a request that is taken: the response must be sent before the node ends.
+func (p stopPlan) deadline(deadline time.Time) time.Time {
+	if p.endAt.IsZero() || deadline.Before(p.endAt) {
+		return deadline
+	}
+	return p.endAt
+}
+
+// limitByStop refuses a request that a stopping node no longer takes, and shortens the deadline of one that it takes.
+func (n *Node) limitByStop(r *caller.Request) error {
+	plan := n.stopPlan.Load()
+	if plan == nil {
+		return nil
+	}
+	if !plan.takes(time.Now(), n.typicalTime(r)) {
+		err := outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("the node stops"))
+		err.RetryAfter = stopRetryAfter
+		return err
+	}
+	r.Deadline = plan.deadline(r.Deadline)
+	return nil
+}
+
+// typicalTime returns the median service time of the request's class over the upstreams of its service, or 0 if the service is unknown.
+func (n *Node) typicalTime(r *caller.Request) time.Duration {
+	state := (*n.services.Load())[r.Match.Service.Name()]
+	if state == nil {
+		return 0
+	}
+	classIndex, ok := state.lookupClassIndex(r.Match.Class.Name())
+	if !ok {
+		return 0
+	}
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	return state.balancer.TypicalServiceTime(time.Now(), classIndex, r.Match.Class.Objective())
+}
+
+// stop stops the node gracefully. It announces that the node is leaving and, for the lame-duck period, still takes requests that can end in time. Then it
+// refuses requests until those that run have ended, hands over the shards and closes the servers.
+func (n *Node) stop(servers servers) {
+	_ = level.Info(n.logger).Log("msg", "stopping")
+	n.events.Add(event.Event{Kind: event.Stop})
+	leaveTime := time.Now()
+	plan := newStopPlan(leaveTime, n.cfg.Limits.LameDuck.Std(), n.cfg.DrainTimeout())
+	n.stopPlan.Store(&plan)
+	n.stopping.Store(true)
+	n.gates.drain()
+	n.mu.Lock()
+	n.members.SetStatus(leaveTime, membership.Leaving)
+	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams(), n.gates.departures(leaveTime))
+	n.mu.Unlock()
+	ctx, cancel := context.WithDeadline(context.Background(), plan.endAt)
+	defer cancel()
+	n.sleep(ctx, time.Until(plan.refuseAt))
+	servers.caller.waitUntilIdle(ctx)
+	if !n.protocols.hasConfigSource() {
+		n.handOverShards(ctx)
+	}
+	n.waitUntil(ctx, func() bool { return n.gates.runningRequests() == 0 })
+	servers.caller.end(ctx)
+	n.mu.Lock()
+	n.members.SetStatus(time.Now(), membership.Left)
+	n.mu.Unlock()
+	n.tickMembership(ctx, time.Now())
+	servers.peer.end(ctx)
+	time.Sleep(2 * membershipTickInterval) // lets the last heartbeats be sent
+}
+
+// handOverShards waits for pending requests with idempotency keys, then hands over the node's shards to other nodes.
+// The node must still respond to its peers meanwhile.
+func (n *Node) handOverShards(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainHandoverTimeout)
+	defer cancel()
+	n.waitUntil(ctx, func() bool { return n.keys.pending() == 0 })
+	n.mu.Lock()
+	n.owners.Leave()
+	n.mu.Unlock()
+	n.waitUntil(ctx, func() bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return n.owners.OwnedShards() == 0
+	})
+}
+
+// awaitStopped waits up to shutdownTimeout for the node's goroutines and logs that the node has stopped.
+func (n *Node) awaitStopped(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		n.running.Wait()
+		close(done)
+	}()
+	unfinished := false
+	select {
+	case <-done:
+	case <-time.After(shutdownTimeout):
+		unfinished = true
+	}
+	_ = level.Info(n.logger).Log("msg", "stopped", "signal", ctx.Err() != nil, "unfinished", unfinished, "running", n.gates.runningRequests())
+}
+
+// connStatus is the state of a connection and the time since when it holds.
+type connStatus struct {
+	state http.ConnState
+	since time.Time
+}
+
+// drainableServer is an HTTP server that can be closed without loss. The one of the standard library drops a request that it reads after its
+// Shutdown has begun, so that is called only when no connection carries a request or is about to.
+type drainableServer struct {
+	*http.Server
+	listener    *tcp.Listener
+	endRequests context.CancelFunc // cancels the contexts of the requests that are being served
+
+	mu    sync.Mutex
+	conns map[net.Conn]connStatus
+}
+
+// newDrainableServer returns a server that isn't serving yet.
+func newDrainableServer(server *http.Server, listener *tcp.Listener) *drainableServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &drainableServer{Server: server, listener: listener, endRequests: cancel, conns: make(map[net.Conn]connStatus)}
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnState = s.record
+	return s
+}
+
+// record records a change of the state of a connection.
+func (s *drainableServer) record(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, conn)
+		return
+	}
+	s.conns[conn] = connStatus{state: state, since: time.Now()}
+}
+
+// busy reports whether a connection carries a request or is new, so that its first request is likely on its way.
+func (s *drainableServer) busy(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < firstRequestTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// end closes the server. It serves the connections that wait to be accepted and, until ctx ends, the requests that run; those that still run
+// then are ended with a response.
+func (s *drainableServer) end(ctx context.Context) {
+	_ = s.listener.Stop() // an error means that it is closed already
+	s.waitUntilIdle(ctx)
+	s.endRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	s.waitUntilIdle(ctx)
+	_ = s.Shutdown(ctx)
+}
+
+// waitUntilIdle waits until no connection is busy or ctx ends.
+func (s *drainableServer) waitUntilIdle(ctx context.Context) {
+	for s.busy(time.Now()) && ctx.Err() == nil {
+		time.Sleep(conditionPollInterval)
+	}
+}
--- /dev/null
+++ b/node/stop_test.go
@@ -0,0 +1,41 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestStopPlan(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1_000_000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	var running stopPlan
+	is.True(running.takes(at(0), time.Hour))
+	is.Equal(running.deadline(at(time.Hour)), at(time.Hour))
+
+	plan := newStopPlan(start, 2*time.Second, 5*time.Second)
+	tests := []struct {
+		name    string
+		now     time.Duration
+		typical time.Duration
+		takes   bool
+	}{
+		{"early", 0, time.Second, true},
+		{"typically longer than the rest", 0, 5 * time.Second, false},
+		{"just ends in time", 1900 * time.Millisecond, 3 * time.Second, true},
+		{"doesn't end in time", 1900 * time.Millisecond, 3100 * time.Millisecond, false},
+		{"of unknown length", 1900 * time.Millisecond, 0, true},
+		{"after the lame-duck period", 2 * time.Second, 0, false},
+		{"long after it", time.Minute, 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(plan.takes(at(tt.now), tt.typical), tt.takes)
+		})
+	}
+	is.Equal(plan.deadline(at(4*time.Second)), at(4*time.Second))
+	is.Equal(plan.deadline(at(6*time.Second)), at(5*time.Second))
+}
