A server closes only after its listener has returned the last waiting connection

Causes: Shutdown began while the listener was still emptying, and net/http drops what it reads then; and an Accept whose deadline has passed before it begins doesn't look at the queue. Change: Stop waits until Accept has returned the last connection, and the listener closes only if poll says that none waits.

--- a/node/stop.go
+++ b/node/stop.go
@@ -196,13 +196,15 @@
 // end closes the server. It serves the connections that wait to be accepted and, until ctx ends, the requests that run; those that still run
 // then are ended with a response.
 func (s *drainableServer) end(ctx context.Context) {
-	_ = s.listener.Stop() // an error means that it is closed already
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), answerTime)
+	defer cancelStop()
+	_ = s.listener.Stop(stopCtx) // an error means that it is closed already, or that nobody accepts connections
 	s.waitUntilIdle(ctx)
 	s.endRequests()
-	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
-	defer cancel()
-	s.waitUntilIdle(ctx)
-	_ = s.Shutdown(ctx)
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), answerTime)
+	defer cancelEnd()
+	s.waitUntilIdle(endCtx)
+	_ = s.Shutdown(endCtx) // its error says that requests still run, which Run ends
 }
 
 // waitUntilIdle waits until no connection is busy or ctx ends.
--- a/tcp/listener.go
+++ b/tcp/listener.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -29,6 +30,7 @@
 // kernel resets if a listener is just closed.
 type Listener struct {
 	*net.TCPListener
+	stopped chan struct{} // closed once Accept has returned the last connection
 	mu      sync.Mutex
 	phase   stopPhase
 	closeBy time.Time // end of the phase emptying
@@ -40,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Listener{TCPListener: ln.(*net.TCPListener)}, nil
+	return &Listener{TCPListener: ln.(*net.TCPListener), stopped: make(chan struct{})}, nil
 }
 
 // Accept implements net.Listener. After Stop it returns net.ErrClosed once no connection waits.
@@ -53,19 +55,44 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
-		if !l.refuseNew() {
+		if !l.refuseNew() && !l.waiting() {
 			_ = l.Close() // its error would hide that the listener has stopped
+			close(l.stopped)
 			return nil, net.ErrClosed
 		}
+		if err := l.awaitNext(); err != nil {
+			return nil, err
+		}
 	}
 }
 
-// Stop makes Accept close the listener once no connection waits to be accepted.
-func (l *Listener) Stop() error {
+// waiting reports whether a connection waits to be accepted. Accept doesn't look for one if its deadline has passed before it begins.
+func (l *Listener) waiting() bool {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
+// Stop makes Accept close the listener once no connection waits to be accepted, and waits until it has returned the last one or ctx ends.
+func (l *Listener) Stop(ctx context.Context) error {
 	l.mu.Lock()
 	l.phase, l.closeBy = emptying, time.Now().Add(maxStopTime)
 	l.mu.Unlock()
-	return l.awaitNext()
+	if err := l.awaitNext(); err != nil {
+		return err
+	}
+	select {
+	case <-l.stopped:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // awaitNext sets the time by which the next connection must come if the listener is on its way to close.
@@ -88,7 +115,7 @@
 	stopped := l.phase == refusing
 	l.phase = refusing
 	l.mu.Unlock()
-	return !stopped && l.dropSYN() == nil && l.awaitNext() == nil
+	return !stopped && l.dropSYN() == nil
 }
 
 // Offsets and flags of the TCP header.
--- a/tcp/listener_test.go
+++ b/tcp/listener_test.go
@@ -1,6 +1,7 @@
 package tcp_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -33,7 +34,7 @@
 				}
 			}()
 		}
-		is.NoErr(ln.Stop())
+		is.NoErr(ln.Stop(context.Background()))
 		wg.Wait()
 		close(cuts)
 		for err := range cuts {
