--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,8 @@
 	for m in $(MODULES); do (cd $$m && go build ./...) || exit 1; done
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
-DRAWN = ./admission ./bundle ./event ./membership ./outlier ./platform ./quota ./retry ./rollout ./routing
-PLAIN = ./caller ./idempotency ./node ./setting ./tcp ./upstream
+DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./platform ./quota ./retry ./rollout ./routing
+PLAIN = ./caller ./idempotency ./setting ./tcp ./upstream
 
 # The ownership tests run without the race detector, which makes them 10 times slower; the code under test starts no goroutines.
 test:
@@ -32,6 +32,7 @@
 fuzz:
 	go test ./ownership -run 'TestAtMostOnce$$' -steps 1000000 -timeout 20m
 	go test ./rollout ./membership ./outlier ./admission ./routing ./quota -rapid.checks 5000 -timeout 20m
+	go test ./node -run TestAcknowledgedDeparturesHold -rapid.checks 20000 -timeout 20m
 	go test ./bundle -run '^$$' -fuzz FuzzParse -fuzztime 20s
 	for f in FuzzConfig FuzzAnnouncement FuzzChunk FuzzKeyed; do go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime 20s || exit 1; done
 
--- a/membership/departure.go
+++ b/membership/departure.go
@@ -1,6 +1,9 @@
 package membership
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Departure is the leaving of an upstream that a node has acknowledged. It binds later processes of the node, too, so other nodes keep it.
 type Departure struct {
@@ -20,33 +23,36 @@
 	})
 }
 
+// owedTime is the time for which a returned node is told of departures that its record doesn't list. It need not list one of which it knows
+// a later incarnation of the upstream.
+const owedTime = 10 * time.Second
+
 // updateOwed notes the departures that earlier processes of the node acknowledged and that its record next doesn't list: its current
 // process must be told of them.
-func (m *memberState) updateOwed(next *Member) {
+func (m *memberState) updateOwed(now time.Time, next *Member) {
 	if m.own {
 		return
 	}
 	if next.Incarnation > m.Incarnation {
 		m.owed = append(m.owed, missingDepartures(m.Departures, m.owed)...)
+		m.owedUntil = now.Add(owedTime)
 	}
 	m.owed = missingDepartures(m.owed, next.Departures)
 }
 
 // appendOwed appends to records one with the departures that the node must be told of. The node takes nothing else from it, since it is
 // older than the node's own record.
-func (m *memberState) appendOwed(records []Member) []Member {
-	if len(m.owed) == 0 {
+func (m *memberState) appendOwed(now time.Time, records []Member) []Member {
+	if len(m.owed) == 0 || now.After(m.owedUntil) {
 		return records
 	}
 	return append(records, Member{Name: m.Name, Departures: slices.Clone(m.owed)})
 }
 
-// settleOwed forgets the departures that the node has been told of.
-func (m *memberState) settleOwed(sent []Member) {
-	for _, record := range sent {
-		if record.Name == m.Name {
-			m.owed = missingDepartures(m.owed, record.Departures)
-		}
+// tellOwed tells a neighbour that has returned of its departures at once. Others tell it when they are in touch with it.
+func (e *Engine) tellOwed(now time.Time, m *memberState) {
+	if len(m.owed) > 0 && now.Before(m.owedUntil) && m.live() && slices.Contains(e.neighbours, m) {
+		e.send(now, m)
 	}
 }
 
@@ -64,11 +70,11 @@
 	}
 }
 
-// Confirmed reports whether another node has received the current record of this node; true if no other live node is known.
+// Confirmed reports whether another node has received the current record of this node; true if this node knows neither another one nor a seed.
 func (e *Engine) Confirmed() bool {
 	others := e.index.live
 	if e.self.live() {
 		others--
 	}
-	return others == 0 || e.confirmedSeq >= e.self.Seq
+	return others == 0 && len(e.seeds) == 0 || e.confirmedSeq >= e.self.Seq
 }
--- a/membership/departure_test.go
+++ b/membership/departure_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -60,10 +61,11 @@
 	}
 }
 
-func TestNodeWithoutOthersNeedsNoConfirmation(t *testing.T) {
+func TestOnlyANodeWithoutSeedsNeedsNoConfirmation(t *testing.T) {
 	is := is.New(t)
-	net := newSimNetwork(7, 1, 1)
-	net.run(time.Second)
-	net.nodes["n00"].SetUpstreams(net.now, nil, []membership.Departure{{ID: "u", Incarnation: 7}})
-	is.True(net.nodes["n00"].Confirmed())
+	for _, seeds := range [][]string{nil, {"n01"}} {
+		e := membership.New(epoch, membership.Member{Name: "n00", Incarnation: 1, Address: "n00"}, seeds, rand.New(rand.NewPCG(1, 1)))
+		e.SetUpstreams(epoch, nil, []membership.Departure{{ID: "u", Incarnation: 7}})
+		is.Equal(e.Confirmed(), len(seeds) == 0)
+	}
 }
--- a/membership/engine.go
+++ b/membership/engine.go
@@ -75,6 +75,7 @@
 	reachableUntil   time.Time   // until this time the node is not declared dead, because an indirect probe reached it
 	pendingRecords   []string    // names of the nodes whose records are to be sent to this node
 	owed             []Departure // departures that earlier processes of the node acknowledged and that it must be told of
+	owedUntil        time.Time   // until then it is told of them
 }
 
 // inRing reports whether the node is in the ring of its data centre; this node always is.
@@ -198,7 +199,7 @@
 		if m.Incarnation != state.Incarnation || m.Address != state.Address {
 			state.failedHeartbeats, state.probeDeadline = 0, time.Time{}
 		}
-		state.updateOwed(&m)
+		state.updateOwed(now, &m)
 		e.index.replace(state, m)
 	}
 	e.toggleSum(state)
@@ -208,6 +209,7 @@
 		state.changedAt, e.lastChange = now, now
 		e.chooseNeighbours()
 		e.enqueue(m.Name, from, e.neighbours)
+		e.tellOwed(now, state)
 	case state == e.self:
 		e.enqueue(m.Name, "", e.healthAudience())
 	}
@@ -316,7 +318,7 @@
 	jitter := time.Duration(e.rnd.Int64N(int64(interval) / 5))
 	m.nextHeartbeat, m.sentAt = now.Add(interval-interval/10+jitter), now
 	msg := e.newMessage()
-	msg.Members = m.appendOwed(e.takePendingRecords(m))
+	msg.Members = m.appendOwed(now, e.takePendingRecords(m))
 	e.output.Heartbeats = append(e.output.Heartbeats, OutgoingHeartbeat{Name: m.Name, Address: m.Address, Message: msg})
 }
 
@@ -325,7 +327,7 @@
 	e.merge(now, msg.Members, msg.Name)
 	resp := e.newMessage()
 	if m := e.index.byName[msg.Name]; m != nil {
-		resp.Members = m.appendOwed(e.takePendingRecords(m))
+		resp.Members = m.appendOwed(now, e.takePendingRecords(m))
 	}
 	if len(msg.BucketSums) == bucketCount {
 		resp.Members = append(resp.Members, e.recordsInDifferingBuckets(msg.BucketSums)...)
@@ -359,7 +361,6 @@
 			e.declareDead(now, m) // another node now has this address
 		}
 		m.failedHeartbeats, m.probeDeadline = 0, time.Time{}
-		m.settleOwed(heartbeat.Message.Members)
 		e.requestRefutation(now, m, resp)
 	}
 	e.recordConfirmation(heartbeat.Message.Members)
--- a/node/departure.go
+++ b/node/departure.go
@@ -12,7 +12,8 @@
 // Limits of the waits by which a departure outlives the process that acknowledged it.
 const (
 	confirmTimeout = 300 * time.Millisecond // maximum time for another node to confirm a departure before it is acknowledged
-	recallTimeout  = 500 * time.Millisecond // time from the start after which a node no longer waits to hear of earlier departures
+	recallWait     = 500 * time.Millisecond // maximum time for which an announcement waits until the node has heard of earlier departures
+	recallTimeout  = 3 * time.Second        // time from the start after which a node takes announcements although it has heard from nobody
 )
 
 // departures returns the departures that the node has acknowledged, in the form that the membership announces to the fleet.
@@ -31,6 +32,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
 	defer cancel()
 	confirmed := func() bool {
+		if !n.recalled.Load() {
+			return false // this node doesn't know the others yet
+		}
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		return n.members.Confirmed()
@@ -41,15 +45,15 @@
 	}
 }
 
-// awaitRecall waits until the node has heard from another one, which tells it of the departures that its earlier processes acknowledged.
-func (n *Node) awaitRecall() {
-	if n.recalled.Load() {
-		return
+// awaitRecall waits until the node has heard from another one, which tells it of the departures that its earlier processes acknowledged. It
+// reports whether announcements may be taken.
+func (n *Node) awaitRecall() bool {
+	if !n.recalled.Load() {
+		ctx, cancel := context.WithDeadline(context.Background(), n.startedAt.Add(recallWait))
+		defer cancel()
+		n.waitUntil(ctx, n.recalled.Load)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), n.startedAt.Add(recallTimeout))
-	defer cancel()
-	n.waitUntil(ctx, n.recalled.Load)
-	n.recalled.Store(true)
+	return n.recalled.Load() || time.Since(n.startedAt) > recallTimeout
 }
 
 // recallDepartures applies departures that earlier processes of this node acknowledged.
