A pause of the node is no evidence against its upstreams

Cause: when a node runs again, the deadlines of its connections are noticed before those of the contexts, so requests that had been in flight counted as broken connections: one is enough for a suspicion of 0.93. Time-outs counted as silence of the upstream.

--- a/node/gates.go
+++ b/node/gates.go
@@ -293,6 +293,7 @@
 			changed = true
 			continue
 		}
+		gate.RecordRunning(now)
 		suspect := gate.Suspect(now)
 		if suspect == n.gates.announcedSuspect[gate] {
 			continue
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"time"
 
@@ -40,7 +41,7 @@
 	}
 	x, err := g.conns.roundTrip(ctx, req, address, deadline, maxIdle)
 	if err != nil {
-		g.finish(a, id, start, classifyContext(ctx))
+		g.finish(a, id, start, classifyError(ctx, err))
 		defer cancel()
 		return nil, dispatchError(ctx, err)
 	}
@@ -127,9 +128,11 @@
 	return a.ID
 }
 
-func classifyContext(ctx context.Context) result {
+// classifyError classifies an attempt that failed with err. The deadline of the connection may be noticed before that of ctx if the node has
+// not run for some time.
+func classifyError(ctx context.Context, err error) result {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, os.ErrDeadlineExceeded):
 		return timedOut
 	case ctx.Err() != nil:
 		return canceled
@@ -145,7 +148,7 @@
 		return outcome.NewError(outcome.NotRun, outcome.CodeUpstreamFailed, err)
 	}
 	code := outcome.CodeUpstreamFailed
-	if classifyContext(ctx) == timedOut {
+	if classifyError(ctx, err) == timedOut {
 		code = outcome.CodeTimeout
 	}
 	return outcome.NewError(outcome.Unknown, code, err)
@@ -175,7 +178,7 @@
 	}
 	if err != nil {
 		x.abort()
-		return nil, classifyContext(ctx), outcome.NewError(outcome.Unknown, outcome.CodeTruncated, err)
+		return nil, classifyError(ctx, err), outcome.NewError(outcome.Unknown, outcome.CodeTruncated, err)
 	}
 	out.Body = &streamedBody{Reader: io.MultiReader(&buf, resp.Body), x: x}
 	return out, succeeded, nil
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -72,6 +72,7 @@
 	lastHeard    time.Time // time of the last response
 	nextTrial    time.Time // time before which an unhealthy upstream gets no further trial request
 	suspected    bool
+	pauses       pauses
 	controller   *admission.Controller
 	decisions    map[uint64]chan admission.Decision // receives the admission decision of each waiting request, by id
 	nextID       uint64
@@ -177,6 +178,13 @@
 	return l
 }
 
+// RecordRunning records that the node runs at now; it is called at an interval well under maxRunGap.
+func (g *Gate) RecordRunning(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pauses.recordRunning(now)
+}
+
 // Suspect reports whether the upstream is suspect: its suspicion rose above suspectAbove and has not fallen below clearBelow since.
 // The distance between the two thresholds keeps the state from flapping.
 func (g *Gate) Suspect(now time.Time) bool {
@@ -356,7 +364,7 @@
 	}
 	g.deliver(g.controller.Done(now, id, admission.Result{Shed: r == shed, Failed: r != succeeded}))
 	i, ok := g.classIndexes[a.Class]
-	if !ok || g.announcement.State == Warming {
+	if !ok || g.announcement.State == Warming || g.pauses.affect(start, now) {
 		return
 	}
 	latency := now.Sub(start)
@@ -369,6 +377,9 @@
 
 // recordResult adds the result of an attempt to the evidence of the health of the upstream.
 func (g *Gate) recordResult(now time.Time, w *inFlight, r result) {
+	if r != succeeded && r != failed && g.pauses.affect(w.start, now) {
+		return
+	}
 	slow := w.typicalLatency > 0 && now.Sub(w.start) > overdueRatio*w.typicalLatency
 	switch {
 	case r == broken:
@@ -377,7 +388,7 @@
 		g.addEvidence(now, outlier.Error)
 	case r == timedOut || r == canceled:
 		g.recordSilence(now, w)
-	case r == succeeded && slow:
+	case r == succeeded && slow && !g.pauses.affect(w.start, now):
 		g.recordOverdue(now, w)
 	case r == succeeded:
 		g.recordOvertaken(now, w.start)
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -36,7 +36,7 @@
 	var silences []outlier.Silence
 	first := now
 	for _, w := range g.inFlight {
-		if w.silent() {
+		if w.silent() && !g.pauses.affect(w.start, now) {
 			silences = append(silences, g.silence(now, w))
 			first = earlier(first, w.start)
 		}
@@ -67,7 +67,7 @@
 
 // recordSilence makes the silence of a request that ends without a response part of the estimate.
 func (g *Gate) recordSilence(now time.Time, w *inFlight) {
-	if !w.silent() || g.announcement.State == Warming {
+	if !w.silent() || g.announcement.State == Warming || g.pauses.affect(w.start, now) {
 		return
 	}
 	w.counted = true
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -53,15 +53,15 @@
 		err = io.ErrUnexpectedEOF
 		s.once.Do(func() { s.onEnd(broken) })
 	default:
-		s.once.Do(func() { s.onEnd(s.classifyFailure()) })
+		s.once.Do(func() { s.onEnd(s.classifyFailure(err)) })
 	}
 	return n, err
 }
 
 // classifyFailure returns the result of a body that failed before its end. One that is still coming when the deadline passes is a
 // failure of the upstream: it may never end.
-func (s *stream) classifyFailure() result {
-	if r := classifyContext(s.ctx); r != timedOut {
+func (s *stream) classifyFailure(err error) result {
+	if r := classifyError(s.ctx, err); r != timedOut {
 		return r
 	}
 	return failed
