A draining announcement of an upstream whose address has passed to a later one is recorded

From reading the acknowledgements once more: such an announcement was answered 200 and ignored; after the later upstream had fallen silent, an earlier announcement would have opened a gate.

--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -79,6 +79,9 @@
 			continue
 		}
 		if a.Incarnation < other.Incarnation {
+			if a.State == Draining {
+				r.bury(now, a, true)
+			}
 			return nil, &StaleError{a.ID, "its address is in use by " + id}
 		}
 		replaced = append(replaced, id)
--- a/upstream/roster_test.go
+++ b/upstream/roster_test.go
@@ -67,6 +67,12 @@
 			{depart: upstream.Departure{ID: "a"}, ok: true},
 			{a: announce("a", 1, 6, upstream.Ready), ok: false},
 		}},
+		{"draining beside a later one at the address", []step{
+			{a: announce("b", 2, 1, upstream.Ready), ok: true},
+			{a: announce("a", 1, 6, upstream.Draining), ok: false},
+			{end: "b"},
+			{a: announce("a", 1, 5, upstream.Ready), ok: false},
+		}},
 		{"another one at the address", []step{
 			{a: announce("a", 1, 5, upstream.Ready), ok: true},
 			{a: announce("b", 2, 0, upstream.Ready), ok: true},
