--- /dev/null
+++ b/node/drainable.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jasminevane/jasminevane/tcp"
+)
+
+// Times of the end of a server.
+const (
+	firstRequestTimeout = 500 * time.Millisecond // a new connection without a request for this long counts as idle
+	answerTime          = 150 * time.Millisecond // time to send the responses of requests that were ended
+)
+
+// connStatus is the state of a connection and the time since when it holds.
+type connStatus struct {
+	state http.ConnState
+	since time.Time
+}
+
+// drainableServer is an HTTP server that can be closed without loss. The one of the standard library drops a request that it reads after its
+// Shutdown has begun, so that is called only when no connection carries a request or is about to.
+type drainableServer struct {
+	*http.Server
+	listener    *tcp.Listener
+	endRequests context.CancelFunc // cancels the contexts of the requests that are being served
+
+	mu    sync.Mutex
+	conns map[net.Conn]connStatus
+}
+
+// newDrainableServer returns a server that isn't serving yet.
+func newDrainableServer(server *http.Server, listener *tcp.Listener) *drainableServer {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &drainableServer{Server: server, listener: listener, endRequests: cancel, conns: make(map[net.Conn]connStatus)}
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnState = s.record
+	return s
+}
+
+// record records a change of the state of a connection.
+func (s *drainableServer) record(conn net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(s.conns, conn)
+		return
+	}
+	s.conns[conn] = connStatus{state: state, since: time.Now()}
+}
+
+// busy reports whether a connection carries a request or is new, so that its first request is likely on its way.
+func (s *drainableServer) busy(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < firstRequestTimeout {
+			return true
+		}
+	}
+	return false
+}
+
+// end closes the server. It serves the connections that wait to be accepted and, until ctx ends, the requests that run; those that still run
+// then are ended with a response.
+func (s *drainableServer) end(ctx context.Context) {
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), answerTime)
+	defer cancelStop()
+	_ = s.listener.Stop(stopCtx) // an error means that it is closed already, or that nobody accepts connections
+	s.waitUntilIdle(ctx)
+	s.endRequests()
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), answerTime)
+	defer cancelEnd()
+	s.waitUntilIdle(endCtx)
+	_ = s.Shutdown(endCtx) // its error says that requests still run, which Run ends
+}
+
+// waitUntilIdle waits until no connection is busy or ctx ends.
+func (s *drainableServer) waitUntilIdle(ctx context.Context) {
+	for s.busy(time.Now()) && ctx.Err() == nil {
+		time.Sleep(conditionPollInterval)
+	}
+}
