--- a/node/announcement.go
+++ b/node/announcement.go
@@ -12,8 +12,9 @@
 // Announce implements upstream.Registry. It adds or renews an upstream and returns the number of its unfinished requests.
 func (n *Node) Announce(announcement upstream.Announcement) (int, error) {
 	if announcement.State != upstream.Draining && !n.awaitRecall() {
-		n.logAnnouncement("ignored", announcement, "this node doesn't know yet which upstreams have left it")
-		return 0, nil // the upstream announces itself again
+		n.logAnnouncement("deferred", announcement, "this node doesn't know yet which upstreams have left it")
+		n.spawn(func() { n.announceAfterRecall(announcement) })
+		return 0, nil
 	}
 	if err := n.checkAnnouncement(announcement); err != nil {
 		n.logAnnouncement("ignored", announcement, err.Error())
--- a/node/departure.go
+++ b/node/departure.go
@@ -53,7 +53,20 @@
 		defer cancel()
 		n.waitUntil(ctx, n.recalled.Load)
 	}
-	return n.recalled.Load() || time.Since(n.startedAt) > recallTimeout
+	return n.recalled.Load() || time.Since(n.startedAt) >= recallTimeout
+}
+
+// announceAfterRecall applies an announcement once it may be taken. The roster rejects it if a later one or a departure came meanwhile.
+func (n *Node) announceAfterRecall(announcement upstream.Announcement) {
+	ctx, cancel := context.WithDeadline(context.Background(), n.startedAt.Add(recallTimeout))
+	defer cancel()
+	n.waitUntil(ctx, func() bool { return n.recalled.Load() || n.stopping.Load() })
+	if n.stopping.Load() {
+		return
+	}
+	if _, err := n.Announce(announcement); err != nil {
+		_ = level.Warn(n.logger).Log("msg", "deferred announcement refused", "upstream", announcement.ID, "err", err)
+	}
 }
 
 // recallDepartures applies departures that earlier processes of this node acknowledged.
