--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -195,6 +196,82 @@
 	return verdict{reached > 0, fmt.Sprintf("%d requests reached the server later than %v after its departure was acknowledged, by machines in touch", reached, drain)}, nil
 }
 
+// twoSlashes sends requests whose path begins with two slashes, on a route with the prefix "/". It checks UNASKED: a server runs a request
+// with its path changed.
+func twoSlashes(root, folder string, trouble bool, log *record) (verdict, error) {
+	const length = 4 * time.Second
+	all := orders("alpha")
+	all.Prefix = "/"
+	f, err := started(root, folder, log, []string{"alpha", "alpha"}, 100*time.Millisecond, all)
+	if err != nil {
+		return verdict{}, err
+	}
+	defer f.stop()
+	time.Sleep(stableWindow)
+	kind := order
+	if trouble {
+		kind.path = "/" + order.path
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	for _, n := range f.nodes {
+		go keepSending(ctx, log, n.name, n.caller, kind, 150*time.Millisecond)
+	}
+	time.Sleep(length)
+	cancel()
+
+	runs, changed := 0, 0
+	for _, e := range log.all() {
+		if e.what == "run" {
+			runs++
+			if field(e.text, "target") != kind.path+e.id {
+				changed++
+			}
+		}
+	}
+	return verdict{changed > 0, fmt.Sprintf("%d of %d runs had another request target than the requester sent", changed, runs)}, nil
+}
+
+// runAndRefused lets one server of seven fail part of its requests after it has run them, with the status 503 and without Not-Executed. It
+// checks REFUSED: a request that isn't idempotent is answered with 503 and has run.
+func runAndRefused(root, folder string, trouble bool, log *record) (verdict, error) {
+	const servers, length, margin, failShare = 7, 40 * time.Second, time.Second, 0.4
+	f, err := started(root, folder, log, slices.Repeat([]string{"alpha"}, servers), 100*time.Millisecond, orders("alpha"), looks("alpha"))
+	if err != nil {
+		return verdict{}, err
+	}
+	defer f.stop()
+	time.Sleep(stableWindow)
+	if trouble {
+		f.nodes[0].server.setFailShare(failShare)
+		log.add("fails", f.nodes[0].server.id, "share=%v", failShare)
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	defer cancel()
+	for _, n := range f.nodes {
+		go keepSending(ctx, log, n.name, n.caller, order, 100*time.Millisecond)
+		go keepSending(ctx, log, n.name, n.caller, look, 150*time.Millisecond)
+	}
+	time.Sleep(length)
+	cancel()
+	time.Sleep(margin)
+
+	ordered, ran := make(map[string]bool), make(map[string]bool)
+	refused, runs := 0, 0
+	for _, e := range log.all() {
+		switch {
+		case e.what == "sent" && field(e.text, "path") == order.path:
+			ordered[e.id] = true
+		case e.what == "run" && ordered[e.id]:
+			ran[e.id] = true
+			runs++
+		case e.what == "answered" && field(e.text, "status") == "503" && ran[e.id]:
+			refused++
+		}
+	}
+	return verdict{refused > 0, fmt.Sprintf("%d of %d orders that ran were answered with 503", refused, runs)}, nil
+}
+
 // serviceOf returns the service of the server beside the named node.
 func (f *fleet) serviceOf(name string) string {
 	for _, n := range f.nodes {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,6 +26,8 @@
 	"config-moves-all-routes": configMovesAllRoutes,
 	"stray-ping":              strayPing,
 	"lost-departure":          lostDeparture,
+	"two-slashes":             twoSlashes,
+	"run-and-refused":         runAndRefused,
 }
 
 func main() {
--- a/review/standin/requester.go
+++ b/review/standin/requester.go
@@ -35,7 +35,7 @@
 	if k.method == http.MethodPost {
 		body = "order " + id
 	}
-	log.add("sent", id, "node=%s %s %s", node, k.method, k.path)
+	log.add("sent", id, "node=%s method=%s path=%s", node, k.method, k.path)
 	_, err = fmt.Fprintf(conn, "%s %s%s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nTimeout-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
 		k.method, k.path, id, k.host, id, k.timeout.Milliseconds(), len(body), body)
 	if err != nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -33,10 +34,11 @@
 	http        *http.Server
 	slots       chan struct{}
 
-	mu     sync.Mutex
-	seq    int
-	queued int
-	state  string // empty once it has deregistered
+	mu        sync.Mutex
+	seq       int
+	queued    int
+	state     string  // empty once it has deregistered
+	failShare float64 // share of the requests that it runs and then answers with 503; its status check stays good
 }
 
 // startServer starts a server that listens on ln.
@@ -69,7 +71,7 @@
 		return
 	}
 	defer s.leave()
-	s.log.add("run", id, "server=%s service=%s caller-service=%s path=%s", s.id, s.service, r.Header.Get("Caller-Service"), r.URL.Path)
+	s.log.add("run", id, "server=%s service=%s caller-service=%s target=%s", s.id, s.service, r.Header.Get("Caller-Service"), r.RequestURI)
 	select {
 	case <-time.After(s.work):
 	case <-r.Context().Done():
@@ -78,8 +80,26 @@
 	}
 	body := fmt.Sprintf("%s from %s\n", id, s.id)
 	w.Header().Set("Response-Seal", fmt.Sprintf("%x", len(body)))
+	status := http.StatusOK
+	if s.fails() {
+		status = http.StatusServiceUnavailable // without Not-Executed: it has run
+	}
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body)
-	s.log.add("done", id, "server=%s", s.id)
+	s.log.add("done", id, "server=%s status=%d", s.id, status)
+}
+
+// fails reports whether the server fails the request that it has just run.
+func (s *server) fails() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return rand.Float64() < s.failShare
+}
+
+func (s *server) setFailShare(share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failShare = share
 }
 
 // enter waits for a slot; it returns false if too many requests wait already.
