A running request follows its class by name when a bundle replaces the classes

Cause: admission.Controller.SetClasses kept the class index of a running request as min(index, len(classes)-1). Without classes that is -1, and Done panics in the goroutine of an attempt. With classes left, it is the index of whichever class has that place now, to which the service time and the unused credit were booked.

Change: the index is looked up by the name of the class; a request whose class is gone keeps its slot under NoClass and is booked to nobody.

Other users of a class index were read; none keeps one across a change of the classes.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -70,9 +71,12 @@
 	refusedAt time.Time // time of the last refusal for overload
 }
 
+// NoClass is the class index of a running request whose class the bundle in force lacks.
+const NoClass = -1
+
 // runningRequest is a request that has started and has not ended.
 type runningRequest struct {
-	classIndex int
+	classIndex int // or NoClass
 	startedAt  time.Time
 	charged    float64 // slot-seconds subtracted from the credit of the class at the start
 }
@@ -105,7 +109,7 @@
 }
 
 // SetClasses replaces the classes when a new configuration bundle takes effect and refuses all queued requests. A class that has the
-// name of an old one keeps its mean service time and its credit.
+// name of an old one keeps its mean service time, its credit and its running requests.
 func (c *Controller) SetClasses(classes []Class) []Decision {
 	refusals := c.flush(Overload)
 	oldClasses := c.classes
@@ -123,12 +127,21 @@
 	}
 	c.sortDispatchOrder()
 	for id, r := range c.running {
-		r.classIndex = min(r.classIndex, len(classes)-1)
+		r.classIndex = c.newClassIndex(oldClasses, r.classIndex)
 		c.running[id] = r
 	}
 	return refusals
 }
 
+// newClassIndex returns the index of the class that had oldIndex in oldClasses, or NoClass if it is gone.
+func (c *Controller) newClassIndex(oldClasses []class, oldIndex int) int {
+	if oldIndex == NoClass {
+		return NoClass
+	}
+	name := oldClasses[oldIndex].Name
+	return slices.IndexFunc(c.classes, func(k class) bool { return k.Name == name }) // -1, which is NoClass, if there is none
+}
+
 // precedes reports whether the class is served before the other. Classes are ordered by priority; among equals,
 // non-idempotent classes come first.
 func (k Class) precedes(other Class) bool {
@@ -262,14 +275,21 @@
 	}
 	c.accrueCredit(now)
 	delete(c.running, id)
-	serviceTime := now.Sub(r.startedAt).Seconds()
+	c.charge(r, now.Sub(r.startedAt).Seconds(), result)
+	c.adapt(now, result)
+	return c.dispatch(now, nil)
+}
+
+// charge counts the service time in seconds of a request that has ended for its class, if the bundle in force still has it.
+func (c *Controller) charge(r runningRequest, serviceTime float64, result Result) {
+	if r.classIndex == NoClass {
+		return
+	}
 	class := &c.classes[r.classIndex]
 	class.credit += r.charged - serviceTime
 	if !result.Shed && !result.Failed {
 		class.updateMean(serviceTime)
 	}
-	c.adapt(now, result)
-	return c.dispatch(now, nil)
 }
 
 // updateMean adds a service time in seconds to the moving average.
@@ -384,7 +404,7 @@
 	return firstQueued
 }
 
-// EachRunning calls f for each running request with its ID, the index of its class and its start time.
+// EachRunning calls f for each running request with its ID, the index of its class or NoClass, and its start time.
 func (c *Controller) EachRunning(f func(id uint64, classIndex int, startedAt time.Time)) {
 	for id, r := range c.running {
 		f(id, r.classIndex, r.startedAt)
