Departures are kept in the directory, which outlives all processes

Cause: a departure was kept in the memory of nodes only, and a restarted node took announcements as soon as any other node had answered it, also one that had just started and knew nothing.

Evidence: the restarted node logs "announcement result=ready" and no "departure recalled".

Change: the node records the departure beside its contact before it acknowledges (at most 0.6 s, then the write goes on in the background), each write under a higher epoch, so that one that is carried out late is refused. A process takes announcements once it has read the directory and has heard from another node; without the directory, from two that have run for long.

Cost: one append for each departure, no call more at a start.

--- a/node/announcement.go
+++ b/node/announcement.go
@@ -39,7 +39,7 @@
 		n.announceUpstreams()
 	}
 	if applied.changed && announcement.State == upstream.Draining {
-		n.awaitConfirmation(announcement.ID)
+		n.awaitDurable(announcement.ID)
 	}
 	return applied.gate.Outstanding(), nil
 }
@@ -94,6 +94,6 @@
 		n.recordRemoval(gate, "left")
 	}
 	n.announceUpstreams()
-	n.awaitConfirmation(d.ID)
+	n.awaitDurable(d.ID)
 	return nil
 }
--- a/node/departure_model_test.go
+++ b/node/departure_model_test.go
@@ -25,12 +25,15 @@
 
 // modelProcess is a process of a node: its membership engine and, beside the upstream, its gates.
 type modelProcess struct {
-	node        *Node
-	members     *membership.Engine
-	startedAt   time.Time
-	output      membership.Output // heartbeats and probes to be sent
-	recalled    bool
-	frozenUntil time.Time
+	node          *Node
+	members       *membership.Engine
+	startedAt     time.Time
+	output        membership.Output // heartbeats and probes to be sent
+	incarnation   uint64
+	recall        recall
+	log           departureLog
+	directoryRead bool
+	frozenUntil   time.Time
 }
 
 // modelCall is a call of an upstream on its way to the node.
@@ -46,6 +49,7 @@
 	call     modelCall
 	since    time.Time
 	promises promise
+	version  uint64 // of the departures that the directory is to record
 }
 
 // promise is an acknowledged leaving.
@@ -53,6 +57,7 @@
 	id          string
 	incarnation uint64
 	confirmed   bool // another node knew of it when it was acknowledged
+	recorded    bool // so did the directory
 	by          *modelProcess
 }
 
@@ -70,23 +75,24 @@
 
 // departureModel is a fleet of which one node restarts, freezes and dies, with one upstream beside it.
 type departureModel struct {
-	t           *rapid.T
-	now         time.Time
-	rnd         *rand.Rand
-	processes   []*modelProcess // nil while a node is down; the first is the node beside the upstream
-	incarnation uint64
-	cut         int // index of the node that the first one doesn't reach; 0 for none
-	startAt     time.Time
-	current     *modelUpstream
-	calls       []modelCall
-	waiting     []modelCall // announcements that wait for the recall
-	acks        []modelAck
-	promises    []promise
-	lastPromise time.Time
-	delay       time.Duration // of the next call
-	loseCall    bool
-	loseAck     bool
-	repeat      bool
+	t             *rapid.T
+	now           time.Time
+	rnd           *rand.Rand
+	processes     []*modelProcess      // nil while a node is down; the first is the node beside the upstream
+	directory     []upstream.Departure // what the directory holds of the first node
+	directoryAway bool
+	cut           int // index of the node that the first one doesn't reach; 0 for none
+	startAt       time.Time
+	current       *modelUpstream
+	calls         []modelCall
+	waiting       []modelCall // announcements that wait for the recall
+	acks          []modelAck
+	promises      []promise
+	lastPromise   time.Time
+	delay         time.Duration // of the next call
+	loseCall      bool
+	loseAck       bool
+	repeat        bool
 }
 
 func newDepartureModel(t *rapid.T) *departureModel {
@@ -100,10 +106,9 @@
 }
 
 func (m *departureModel) start(i int) {
-	m.incarnation++
 	name := fmt.Sprint("n", i)
-	self := membership.Member{Name: name, Incarnation: m.incarnation, Region: "r", DataCentre: "dc", Address: name}
-	p := &modelProcess{node: &Node{}, startedAt: m.now}
+	p := &modelProcess{node: &Node{}, startedAt: m.now, incarnation: uint64(m.now.UnixMilli())}
+	self := membership.Member{Name: name, Incarnation: p.incarnation, Region: "r", DataCentre: "dc", Address: name}
 	p.members = membership.New(m.now, self, []string{"n0", "n1", "n2", "n3"}, rand.New(rand.NewPCG(m.rnd.Uint64(), 1)))
 	p.node.bundle.Store(bundle.Empty())
 	p.node.protocols.upstream = platform.UpstreamDialect()
@@ -119,6 +124,15 @@
 	m.waiting, m.acks = nil, nil
 }
 
+// killAll ends all processes. What was only told to other nodes is lost.
+func (m *departureModel) killAll() {
+	m.kill()
+	clear(m.processes)
+	for i := range m.promises {
+		m.promises[i].confirmed = false
+	}
+}
+
 func (m *departureModel) startUpstream(id string) {
 	m.current = &modelUpstream{id: id, incarnation: uint64(m.now.UnixMilli()), nextCall: m.now}
 }
@@ -133,10 +147,13 @@
 func (m *departureModel) run(d time.Duration) {
 	for end := m.now.Add(d); m.now.Before(end); {
 		m.now = m.now.Add(modelStep)
-		if m.processes[0] == nil && !m.now.Before(m.startAt) {
-			m.start(0)
+		for i, p := range m.processes {
+			if p == nil && !m.now.Before(m.startAt) {
+				m.start(i)
+			}
 		}
 		m.stepUpstream()
+		m.stepDirectory()
 		m.deliverCalls()
 		for i := range m.processes {
 			if m.running(i) {
@@ -151,6 +168,27 @@
 	}
 }
 
+// stepDirectory lets the first node read the directory once and write what is due.
+func (m *departureModel) stepDirectory() {
+	if !m.running(0) {
+		return
+	}
+	p := m.processes[0]
+	if m.directoryAway {
+		p.recall.failDirectory()
+		return
+	}
+	if !p.directoryRead {
+		p.directoryRead = true
+		m.recall(p, m.directory)
+		p.recall.readDirectory()
+	}
+	if list, version, changed := p.log.due(); changed == nil {
+		m.directory = list
+		p.log.setRecorded(version)
+	}
+}
+
 // exchange sends the heartbeats and probes of all engines. What follows from the responses is sent by the next exchange.
 func (m *departureModel) exchange() {
 	for i, p := range m.processes {
@@ -181,20 +219,20 @@
 	other.Flush(m.now)
 	p.members.ReceiveResponse(m.now, hb, resp)
 	m.takeOutput(p)
-	p.recalled = true
+	p.recall.hear(resp.Name, resp.Incarnation, p.incarnation)
 }
 
 // takeOutput applies the recalled departures of an engine's output and keeps the rest to be sent.
 func (m *departureModel) takeOutput(p *modelProcess) {
 	output := p.members.TakeOutput()
-	m.recall(p, output.Recalled)
+	m.recall(p, upstreamDepartures(output.Recalled))
 	p.output.Heartbeats = append(p.output.Heartbeats, output.Heartbeats...)
 	p.output.Probes = append(p.output.Probes, output.Probes...)
 }
 
-func (m *departureModel) recall(p *modelProcess, departures []membership.Departure) {
+func (m *departureModel) recall(p *modelProcess, departures []upstream.Departure) {
 	for _, d := range departures {
-		_, _ = p.node.gates.depart(m.now, upstream.Departure{ID: d.ID, Incarnation: d.Incarnation})
+		_, _ = p.node.gates.depart(m.now, d)
 	}
 	if len(departures) > 0 {
 		m.announce(p)
@@ -266,7 +304,12 @@
 		m.t.Fatalf("%v: the departure of %s is refused: %v", m.now, c.from.id, err)
 	}
 	m.announce(p)
-	m.acks = append(m.acks, modelAck{call: c, since: m.now, promises: promise{id: c.from.id, incarnation: c.from.incarnation, by: p}})
+	m.acks = append(m.acks, m.newAck(p, c, promise{id: c.from.id, incarnation: c.from.incarnation, by: p}))
+}
+
+// newAck returns an acknowledgement that waits until the departure is durable.
+func (m *departureModel) newAck(p *modelProcess, c modelCall, promises promise) modelAck {
+	return modelAck{call: c, since: m.now, promises: promises, version: p.log.set(p.node.gates.departed(m.now))}
 }
 
 // finishWaits ends the waits whose conditions hold.
@@ -278,7 +321,7 @@
 	waiting := m.waiting
 	m.waiting = nil
 	for _, c := range waiting {
-		if c.announcement.State != upstream.Draining && !p.recalled && m.now.Before(p.startedAt.Add(recallTimeout)) {
+		if c.announcement.State != upstream.Draining && !p.recall.complete() && m.now.Before(p.startedAt.Add(recallTimeout)) {
 			if m.now.Before(p.startedAt.Add(recallWait)) {
 				m.waiting = append(m.waiting, c)
 			}
@@ -289,8 +332,9 @@
 	acks := m.acks
 	m.acks = nil
 	for _, a := range acks {
-		a.promises.confirmed = p.recalled && p.members.Confirmed()
-		if !a.promises.confirmed && m.now.Before(a.since.Add(confirmTimeout)) {
+		a.promises.confirmed = p.recall.heardAny() && p.members.Confirmed()
+		a.promises.recorded = p.log.has(a.version)
+		if !a.promises.confirmed && m.now.Before(a.since.Add(confirmTimeout)) || !a.promises.recorded && m.now.Before(a.since.Add(recordTimeout)) {
 			m.acks = append(m.acks, a)
 			continue
 		}
@@ -311,7 +355,7 @@
 		m.announce(p)
 	}
 	if c.announcement.State == upstream.Draining {
-		m.acks = append(m.acks, modelAck{call: c, since: m.now, promises: promise{id: c.announcement.ID, incarnation: c.announcement.Incarnation, by: p}})
+		m.acks = append(m.acks, m.newAck(p, c, promise{id: c.announcement.ID, incarnation: c.announcement.Incarnation, by: p}))
 		return
 	}
 	u := m.current
@@ -341,14 +385,16 @@
 		p.node.gates.expire(m.now, gate)
 	}
 	for _, promised := range m.promises {
-		if (promised.confirmed || promised.by == p) && m.isOpen(p, promised.id, promised.incarnation) {
+		recorded := promised.recorded && p.directoryRead // without the directory, a loss of all processes leaves no trace
+		if (promised.confirmed || recorded || promised.by == p) && m.isOpen(p, promised.id, promised.incarnation) {
 			m.t.Fatalf("%v: requests are sent to %s of %d after its leaving was acknowledged", m.now, promised.id, promised.incarnation)
 		}
 	}
 }
 
 // TestAcknowledgedDeparturesHold draws what an upstream says and what becomes of it (late, lost, repeated, answered but not heard), new
-// incarnations under the same or another id, and restarts, freezes and cuts. The other nodes don't freeze within spreadTime of an acknowledgement.
+// incarnations under the same or another id, restarts of the node and of all, freezes, cuts and times without the directory. The other nodes
+// don't freeze within spreadTime of an acknowledgement.
 func TestAcknowledgedDeparturesHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newDepartureModel(t)
@@ -357,7 +403,7 @@
 		ids := 0
 		for range rapid.IntRange(5, 40).Draw(t, "steps") {
 			quiet := m.now.Sub(m.lastPromise) > spreadTime
-			switch rapid.IntRange(0, 14).Draw(t, "action") {
+			switch rapid.IntRange(0, 16).Draw(t, "action") {
 			case 0, 1:
 				m.kill()
 				m.startAt = m.now.Add(modelStep * time.Duration(rapid.IntRange(0, 20).Draw(t, "down")))
@@ -366,8 +412,8 @@
 					p.frozenUntil = m.now.Add(time.Duration(rapid.IntRange(100, 4000).Draw(t, "frozen")) * time.Millisecond)
 				}
 			case 3:
-				if quiet {
-					m.processes[rapid.IntRange(1, 3).Draw(t, "other")].frozenUntil = m.now.Add(2 * time.Second)
+				if p := m.processes[rapid.IntRange(1, 3).Draw(t, "other")]; quiet && p != nil {
+					p.frozenUntil = m.now.Add(2 * time.Second)
 				}
 			case 4:
 				m.cut = rapid.IntRange(0, 3).Draw(t, "cut")
@@ -397,6 +443,11 @@
 				m.loseAck = true
 			case 14:
 				m.repeat = true
+			case 15:
+				m.killAll()
+				m.startAt = m.now.Add(modelStep * time.Duration(rapid.IntRange(0, 20).Draw(t, "all down")))
+			case 16:
+				m.directoryAway = !m.directoryAway
 			}
 			m.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "pause")) * modelStep)
 		}
--- a/node/directory.go
+++ b/node/directory.go
@@ -28,6 +28,7 @@
 			n.pruneContacts(ctx, contacts)
 			return
 		}
+		n.recall.failDirectory()
 		_ = level.Warn(n.logger).Log("msg", "directory away", "err", err)
 		n.sleep(ctx, b.next(time.Since(start)))
 	}
@@ -43,7 +44,8 @@
 	return n.loadSeeds(ctx, self)
 }
 
-// loadSeeds reads the directory and sets the contacts of the other nodes as seeds.
+// loadSeeds reads the directory, applies the departures that earlier processes of this node recorded there, and sets the contacts of the other
+// nodes as seeds.
 func (n *Node) loadSeeds(ctx context.Context, self platform.Contact) ([]platform.Contact, error) {
 	contacts, rejected, err := n.protocols.directory.List(ctx)
 	if err != nil {
@@ -56,14 +58,17 @@
 	for _, c := range contacts {
 		if c.Name != self.Name {
 			seeds = append(seeds, c.Address)
+			continue
 		}
+		n.recallDepartures(c.Departures, "directory")
 	}
 	n.mu.Lock()
 	n.members.SetSeeds(seeds)
 	n.mu.Unlock()
 	if len(seeds) == 0 {
-		n.recalled.Store(true) // there is nobody to hear from
+		n.recall.hearNobody() // there is nobody to hear from
 	}
+	n.recall.readDirectory()
 	_ = level.Info(n.logger).Log("msg", "directory read", "contacts", len(contacts))
 	return contacts, nil
 }
--- a/node/members.go
+++ b/node/members.go
@@ -49,9 +49,7 @@
 
 // handleMembershipOutput applies the member changes of the membership engine and sends its heartbeats and probes.
 func (n *Node) handleMembershipOutput(output membership.Output) {
-	if len(output.Recalled) > 0 {
-		n.recallDepartures(output.Recalled)
-	}
+	n.recallDepartures(upstreamDepartures(output.Recalled), "node")
 	if len(output.Changes)+len(output.Removed) > 0 {
 		n.applyMemberChanges(output)
 	}
@@ -96,7 +94,7 @@
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
 	if err == nil {
-		n.recalled.Store(true)
+		n.recall.hear(resp.Message.Name, resp.Message.Incarnation, uint64(n.startedAt.UnixMilli()))
 		n.applyHeartbeatLog(resp, s.Address)
 	}
 	return resp, err
--- a/node/node.go
+++ b/node/node.go
@@ -73,7 +73,8 @@
 	unresponsive unresponsiveNodes
 	limits       rateLimits
 	startedAt    time.Time
-	recalled     atomic.Bool // whether the node knows the departures that its earlier processes acknowledged
+	recall       recall
+	departureLog departureLog
 	stopping     atomic.Bool
 	stopPlan     atomic.Pointer[stopPlan] // nil until the node stops
 	running      sync.WaitGroup
@@ -98,7 +99,12 @@
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
-	n.recalled.Store(!n.protocols.hasConfigSource() && len(cfg.Peers.Seeds) == 0)
+	if !n.protocols.hasConfigSource() {
+		n.recall.readDirectory() // there is none
+		if len(cfg.Peers.Seeds) == 0 {
+			n.recall.hearNobody()
+		}
+	}
 	now := n.startedAt
 	seed := uint64(now.UnixNano())
 	n.events = event.NewRing(cfg.Name, &n.clock, cfg.Limits.Events)
--- a/node/run.go
+++ b/node/run.go
@@ -103,6 +103,7 @@
 	n.runEvery(ctx, gateSweepInterval, n.sweepGates)
 	if n.protocols.hasConfigSource() {
 		n.spawn(func() { n.join(ctx) })
+		n.spawn(func() { n.recordDepartures(ctx) })
 		n.runEvery(ctx, readerTick, n.tickReader)
 		n.spawn(func() { n.followVersions(ctx) })
 		return
