An announcement of an unknown service gets no gate, in any state

Cause: checkAnnouncement let every draining announcement pass, and the node gave it a gate to record it; originService took the service of the first gate of a map.

Change: no gate for an unknown service or a foreign address; a live upstream may always say that it drains; of one without a gate it is recorded in a way that replaces nothing and yields first. The origin is the service that the settings name, else that of the upstream that started last.

--- a/node/announcement.go
+++ b/node/announcement.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -17,8 +18,8 @@
 		return 0, nil
 	}
 	if err := n.checkAnnouncement(announcement); err != nil {
-		n.logAnnouncement("ignored", announcement, err.Error())
-		return 0, nil // no work is sent to it, so its announcement changes nothing
+		n.ignoreAnnouncement(announcement, err)
+		return 0, nil // no requests are sent to it, so its announcement changes nothing
 	}
 	applied, err := n.gates.apply(n, time.Now(), announcement)
 	var stale *upstream.StaleError
@@ -44,20 +45,49 @@
 	return applied.gate.Outstanding(), nil
 }
 
-// checkAnnouncement rejects announcements of upstreams to which the node sends no work. One that drains is always taken.
+// checkAnnouncement rejects announcements of upstreams to which the node sends no requests. Any writer may send one. That an upstream drains
+// which gets requests is always taken, also if its service is gone.
 func (n *Node) checkAnnouncement(announcement upstream.Announcement) error {
-	if announcement.State == upstream.Draining {
+	if announcement.State == upstream.Draining && n.gates.isCurrent(announcement) {
 		return nil
 	}
 	if allowed := n.cfg.Listen.AllowedUpstreamAddress; allowed != "" && announcement.Address != allowed {
-		return errors.Errorf("address %s is not beside this node, want %s", announcement.Address, allowed)
+		return &misplacedError{address: announcement.Address, want: allowed}
+	}
+	if !n.protocols.hasConfigSource() {
+		return nil
 	}
-	if bundleInForce := n.Bundle(); n.protocols.hasConfigSource() && bundleInForce.Len() > 0 && bundleInForce.Service(announcement.Service) == nil {
+	bundleInForce, beside := n.Bundle(), *n.upstreamService.Load()
+	switch {
+	case bundleInForce.Len() > 0 && bundleInForce.Service(announcement.Service) == nil:
 		return errors.Errorf("service %q is unknown", announcement.Service)
+	case bundleInForce.Len() == 0 && beside != "" && announcement.Service != beside:
+		return errors.Errorf("service %q is not known yet, and %q is beside this node", announcement.Service, beside)
 	}
 	return nil
 }
 
+// misplacedError reports an announcement of an upstream that isn't beside the node, so that the node never sends requests to it.
+type misplacedError struct{ address, want string }
+
+// Error implements error.
+func (e *misplacedError) Error() string {
+	return fmt.Sprintf("address %s is not beside this node, want %s", e.address, e.want)
+}
+
+// ignoreAnnouncement logs an announcement that changes nothing. If it says that an upstream drains whose service may become known, that
+// is recorded, since it is acknowledged.
+func (n *Node) ignoreAnnouncement(announcement upstream.Announcement, reason error) {
+	n.logAnnouncement("ignored", announcement, reason.Error())
+	var misplaced *misplacedError
+	if announcement.State != upstream.Draining || errors.As(reason, &misplaced) {
+		return
+	}
+	if err := n.gates.recordDraining(time.Now(), announcement); err != nil {
+		n.logAnnouncement("ignored", announcement, err.Error())
+	}
+}
+
 // recordAnnouncement records that an upstream was added or changed.
 func (n *Node) recordAnnouncement(announcement upstream.Announcement) {
 	eventKind := event.Announce
--- a/node/gates.go
+++ b/node/gates.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// newestService returns the service of the upstream with the highest incarnation, one that doesn't drain before one that does; it is empty if
+// there is none.
+func (s *gateSet) newestService() string {
+	var newest upstream.Announcement
+	for _, gate := range s.all() {
+		if a := gate.Announcement(); newest.ID == "" || supersedes(a, newest) {
+			newest = a
+		}
+	}
+	return newest.Service
+}
+
+// supersedes reports whether an announcement tells better than another one which upstream is beside the node.
+func supersedes(a, other upstream.Announcement) bool {
+	if draining := a.State == upstream.Draining; draining != (other.State == upstream.Draining) {
+		return !draining
+	}
+	return cmp.Or(cmp.Compare(a.Incarnation, other.Incarnation), cmp.Compare(a.ID, other.ID)) > 0
+}
+
 func (s *gateSet) runningRequests() int {
 	total := 0
 	for _, gate := range s.all() {
@@ -145,6 +165,20 @@
 	return gate
 }
 
+// isCurrent reports whether an announcement comes from an upstream that has a gate, in its current incarnation.
+func (s *gateSet) isCurrent(announcement upstream.Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.IsCurrent(announcement)
+}
+
+// recordDraining records that an upstream without a gate drains.
+func (s *gateSet) recordDraining(now time.Time, announcement upstream.Announcement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.RecordDraining(now, announcement)
+}
+
 // depart records a departure and removes the gate of its upstream, which it returns unless there is none.
 func (s *gateSet) depart(now time.Time, d upstream.Departure) (*upstream.Gate, error) {
 	s.mu.Lock()
--- a/node/serve.go
+++ b/node/serve.go
@@ -64,13 +64,13 @@
 	return n.dispatchRequest(ctx, req)
 }
 
-// originService returns the service of the upstream beside the node. Before that upstream has announced itself,
-// it returns the service from the settings.
+// originService returns the service of the upstream beside the node: the one that the settings name, or else that of the upstream that
+// started last.
 func (n *Node) originService() string {
-	for _, gate := range n.gates.all() {
-		return gate.Announcement().Service
+	if named := *n.upstreamService.Load(); named != "" {
+		return named
 	}
-	return *n.upstreamService.Load()
+	return n.gates.newestService()
 }
 
 // sendAttempt sends one attempt to its upstream and records in state the observed load and whether the path was lost.
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -59,6 +59,11 @@
 	return a.Seq < o.Seq
 }
 
+// sameProcess reports whether two announcements come from one process of an upstream.
+func (a *Announcement) sameProcess(o Announcement) bool {
+	return a.ID == o.ID && a.Incarnation == o.Incarnation && a.Service == o.Service && a.Address == o.Address
+}
+
 // drains reports whether the announcement says that the incarnation drains.
 func (a *Announcement) drains(incarnation uint64) bool {
 	return a.State == Draining && a.Incarnation == incarnation
--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -35,6 +35,7 @@
 	lastAnnouncement Announcement // only the id and the incarnation are set if the upstream left before it was known
 	removedAt        time.Time
 	final            bool // the incarnation ended for good: it deregistered, or another took its id or address
+	unserved         bool // the upstream drained while it got no requests, and may be the invention of another writer
 }
 
 func (s *tombstone) current(now time.Time) bool { return now.Sub(s.removedAt) < tombstoneTTL }
@@ -102,6 +103,37 @@
 	return replaced, nil
 }
 
+// RecordDraining records that an upstream which gets no requests drains, so that it gets none later either. It changes nothing for the others:
+// the error is a *StaleError if the id is that of a live upstream or of another one that was removed, or if there is no room.
+func (r *Roster) RecordDraining(now time.Time, a Announcement) error {
+	if _, isLive := r.live[a.ID]; isLive {
+		return &StaleError{a.ID, "an upstream of this id is live"}
+	}
+	stone, removed := r.tombstones[a.ID]
+	removed = removed && stone.current(now)
+	switch {
+	case removed && (stone.final || !a.sameProcess(stone.lastAnnouncement)):
+		return &StaleError{a.ID, "an upstream of this id was removed"}
+	case removed:
+		stone.lastAnnouncement.State = Draining
+		r.tombstones[a.ID] = stone
+		return nil
+	case len(r.tombstones) >= maxTombstones:
+		return &StaleError{a.ID, "too many upstreams were removed"}
+	}
+	r.bury(now, a, false)
+	stone = r.tombstones[a.ID]
+	stone.unserved = true
+	r.tombstones[a.ID] = stone
+	return nil
+}
+
+// IsCurrent reports whether an announcement comes from a live upstream in its current incarnation.
+func (r *Roster) IsCurrent(a Announcement) bool {
+	current, ok := r.live[a.ID]
+	return ok && a.sameProcess(current)
+}
+
 // Depart removes an upstream that leaves. Announcements of its incarnation are rejected from then on, even if it was not known.
 // The error is a *StaleError if a later incarnation is live, or an *UnidentifiedError, after which nothing is recorded.
 func (r *Roster) Depart(now time.Time, d Departure) error {
@@ -142,17 +174,25 @@
 	r.tombstones[last.ID] = tombstone{lastAnnouncement: last, removedAt: now, final: final}
 }
 
-// evictOldest drops the oldest tombstone.
+// evictOldest drops the oldest tombstone, one of an upstream that got no requests before any other.
 func (r *Roster) evictOldest() {
 	oldest := ""
 	for id, stone := range r.tombstones {
-		if oldest == "" || stone.removedAt.Before(r.tombstones[oldest].removedAt) {
+		if oldest == "" || stone.yieldsTo(r.tombstones[oldest]) {
 			oldest = id
 		}
 	}
 	delete(r.tombstones, oldest)
 }
 
+// yieldsTo reports whether s is dropped before other if there is no room for both.
+func (s *tombstone) yieldsTo(other tombstone) bool {
+	if s.unserved != other.unserved {
+		return s.unserved
+	}
+	return s.removedAt.Before(other.removedAt)
+}
+
 // Current returns the current announcement of an upstream.
 func (r *Roster) Current(id string) (Announcement, bool) {
 	a, ok := r.live[id]
@@ -169,7 +209,7 @@
 		}
 	}
 	for _, stone := range r.tombstones {
-		if stone.current(now) && (stone.final || stone.lastAnnouncement.State == Draining) {
+		if stone.current(now) && !stone.unserved && (stone.final || stone.lastAnnouncement.State == Draining) {
 			newest = append(newest, stone)
 		}
 	}
--- a/upstream/roster_test.go
+++ b/upstream/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,68 @@
 	is.NoErr(err)
 	is.Equal(r.Departures(now), []upstream.Departure{{ID: "a", Incarnation: 3}})
 }
+
+// TestDrainingWithoutRequestsChangesNoOther guards against an announcement of another writer taking the place of an upstream that serves, or
+// crowding out the departures that the node must keep.
+func TestDrainingWithoutRequestsChangesNoOther(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000_000, 0)
+	announce := func(id, service string, incarnation, seq uint64, s upstream.State) upstream.Announcement {
+		return upstream.Announcement{ID: id, Service: service, Address: "127.0.0.1:1", Slots: 1, Incarnation: incarnation, Seq: seq, State: s}
+	}
+	var stale *upstream.StaleError
+	var r upstream.Roster
+	_, err := r.Apply(now, announce("left", "s", 1, 1, upstream.Ready))
+	is.NoErr(err)
+	is.NoErr(r.Depart(now, upstream.Departure{ID: "left", Incarnation: 1}))
+	_, err = r.Apply(now, announce("live", "s", 2, 1, upstream.Ready))
+	is.NoErr(err)
+
+	is.True(errors.As(r.RecordDraining(now, announce("live", "x", 9, 9, upstream.Draining)), &stale))
+	is.True(errors.As(r.RecordDraining(now, announce("left", "x", 9, 9, upstream.Draining)), &stale))
+	for i := range 1000 {
+		_ = r.RecordDraining(now, announce(fmt.Sprint("stray-", i), "x", 9, 9, upstream.Draining))
+	}
+	a, ok := r.Current("live")
+	is.True(ok)
+	is.Equal(a, announce("live", "s", 2, 1, upstream.Ready))
+	later := now.Add(time.Second)
+	is.NoErr(r.Depart(later, upstream.Departure{ID: "left-later", Incarnation: 1}))
+	is.Equal(r.Departures(later), []upstream.Departure{{ID: "left", Incarnation: 1}, {ID: "left-later", Incarnation: 1}})
+	_, err = r.Apply(now, announce("left", "s", 1, 2, upstream.Ready))
+	is.True(errors.As(err, &stale)) // it is still known to have left
+	_, err = r.Apply(now, announce("live", "s", 2, 2, upstream.Ready))
+	is.NoErr(err)
+}
+
+// TestDrainingWithoutRequestsHolds guards against an upstream that drained while it got no requests being ready again.
+func TestDrainingWithoutRequestsHolds(t *testing.T) {
+	announce := func(seq uint64, s upstream.State) upstream.Announcement {
+		return upstream.Announcement{ID: "u", Service: "s", Address: "127.0.0.1:1", Slots: 1, Incarnation: 5, Seq: seq, State: s}
+	}
+	tests := []struct {
+		name  string
+		known bool // it was live before and fell silent
+	}{
+		{"unknown before", false},
+		{"silent before", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1_000_000, 0)
+			var r upstream.Roster
+			if tt.known {
+				_, err := r.Apply(now, announce(1, upstream.Ready))
+				is.NoErr(err)
+				r.Expire(now, "u")
+			}
+			is.NoErr(r.RecordDraining(now, announce(3, upstream.Draining)))
+			_, err := r.Apply(now, announce(4, upstream.Ready))
+			is.NoErr(err)
+			a, ok := r.Current("u")
+			is.True(ok)
+			is.Equal(a.State, upstream.Draining)
+		})
+	}
+}
