What a node keeps of the responses of other nodes is limited

What an operator reported of another system: a faulty server sent bytes without end, and the machine that had called it kept them all. Through two nodes it can happen here.

Change: 256 KiB for each response and 4 MiB for each node of bytes that nobody has read, 256 KiB for heads and trailers, 2 MiB for a control message, 16 MiB for the whole state.

A stream of 256 KiB carries 16 MB/s over 16 ms between regions, where the link has 3.75 MB/s.

--- a/peer/client.go
+++ b/peer/client.go
@@ -25,6 +25,15 @@
 	ackTimeout  = 600 * time.Millisecond // time without acknowledgement of sent data after which a connection is closed
 )
 
+// Limits in bytes of what a client keeps in memory of the responses of a node, which may be faulty.
+const (
+	maxHeadBytes         = 256 << 10 // head, informational responses or trailer of a response, in the size that HTTP/2 counts
+	maxUnreadBytes       = 256 << 10 // received body of one response that nobody has read yet
+	maxUnreadBytesOfNode = 4 << 20   // the same for all responses of a node
+	maxMessageBytes      = 2 << 20   // one control message, such as the records of 900 nodes, 1 MB
+	maxStateBytes        = 16 << 20  // what Fetch and Events return
+)
+
 // Dialer opens a connection to the address of a node.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -35,10 +44,11 @@
 	conns map[string]*nodeConn
 }
 
-// nodeConn holds the transport to one node and the RPC client that uses it.
+// nodeConn holds the transport to one node and the RPC clients that use it.
 type nodeConn struct {
 	transport *http.Transport
 	rpc       peerv1connect.PeerClient
+	stateRPC  peerv1connect.PeerClient // for calls with large responses
 	lastUsed  time.Time
 }
 
@@ -56,10 +66,15 @@
 		IdleConnTimeout:    idleTimeout,
 		DisableCompression: true,
 		Protocols:          new(http.Protocols),
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxUnreadBytes, MaxReceiveBufferPerConnection: maxUnreadBytesOfNode},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
-	p := peerv1connect.NewPeerClient(&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
-	return &nodeConn{transport: t, rpc: p}
+	newRPC := func(maxBytes int) peerv1connect.PeerClient {
+		return peerv1connect.NewPeerClient(&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxBytes))
+	}
+	return &nodeConn{transport: t, rpc: newRPC(maxMessageBytes), stateRPC: newRPC(maxStateBytes)}
 }
 
 // conn returns the connection to the node at the address. When it adds one, it drops those that were not used for twice the idleTimeout.
@@ -119,7 +134,7 @@
 
 // Fetch asks a node for the log entries after the given positions, or for the whole state.
 func (c *Client) Fetch(ctx context.Context, address string, after []Position) (FetchResponse, error) {
-	resp, err := c.Peer(address).Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Positions: positionsProto(after)}))
+	resp, err := c.conn(address).stateRPC.Fetch(ctx, connect.NewRequest(&peerv1.FetchRequest{Positions: positionsProto(after)}))
 	if err != nil {
 		return FetchResponse{}, errors.Wrapf(err, "fetch from %s", address)
 	}
@@ -179,7 +194,7 @@
 // Events asks the node at address for its recorded events that match f.
 func (c *Client) Events(ctx context.Context, address string, f event.Filter) ([]event.Event, error) {
 	req := &peerv1.EventsRequest{Kind: string(f.Kind), Upstream: f.Upstream, Request: f.Request}
-	resp, err := c.Peer(address).Events(ctx, connect.NewRequest(req))
+	resp, err := c.conn(address).stateRPC.Events(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, errors.Wrapf(err, "events from %s", address)
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,8 +14,8 @@
 	"github.com/jasminevane/jasminevane/rollout"
 )
 
-// maxMessageBytes is the maximum size of one control message.
-const maxMessageBytes = 64 << 20
+// maxRequestBytes is the maximum size of one control message that a node takes: a handover may carry all records of its shards.
+const maxRequestBytes = 64 << 20
 
 // FetchResponse is what a node needs to catch up: log entries, or the whole state of the bundle and of shard ownership.
 type FetchResponse struct {
@@ -55,7 +55,7 @@
 
 // NewHandler returns the path and handler of the control protocol.
 func NewHandler(n Node) (string, http.Handler) {
-	return peerv1connect.NewPeerHandler(&server{node: n}, connect.WithReadMaxBytes(maxMessageBytes))
+	return peerv1connect.NewPeerHandler(&server{node: n}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 func (s *server) Exchange(_ context.Context, req *connect.Request[peerv1.Heartbeat]) (*connect.Response[peerv1.Heartbeat], error) {
