A response that its caller doesn't read is given up; idle connections to upstreams are closed

A caller that doesn't read its response and stays connected kept the handler, its buffers and the stream to the other node; a connection to an upstream that sent on after its response stayed open, with all that the kernel holds of it, until another request came for that upstream.

Cause: no write deadline on the port of callers, which streams; the pool closed an old connection only when it was looked for.

Evidence: TestResponseThatNobodyReadsEnds failed for HTTP/1.1 and HTTP/2 (kept after 5 s).

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -12,6 +12,9 @@
 	"github.com/pkg/errors"
 )
 
+// sendGrace is the time after the deadline of a request for which its caller may still read the response.
+const sendGrace = 2 * time.Second
+
 // Fleet serves requests of callers.
 type Fleet interface {
 	// Bundle returns the bundle in force.
@@ -51,13 +54,29 @@
 	}
 	w.Header().Set(d.RequestIDHeader, r.ID)
 	resp.Header.Set(outcome.HeaderName, string(outcome.Ran))
-	if err := resp.Send(w); err != nil {
+	if err := sendWithin(w, resp, r.Deadline); err != nil {
 		f.RecordEnd(r, resp.Status, outcome.Unknown, err, time.Since(start))
 		panic(http.ErrAbortHandler) // a truncated response must not look complete
 	}
 	f.RecordEnd(r, resp.Status, outcome.Ran, nil, time.Since(start))
 }
 
+// sendWithin sends the response. A caller that doesn't read it is given up sendGrace after the deadline of its request, or after now if
+// the response is late.
+func sendWithin(w http.ResponseWriter, resp *upstream.Response, deadline time.Time) error {
+	latest := time.Now()
+	if deadline.After(latest) {
+		latest = deadline
+	}
+	rc := http.NewResponseController(w)
+	_ = rc.SetWriteDeadline(latest.Add(sendGrace)) // fails if the connection is closed, and then sending fails, too
+	if err := resp.Send(w); err != nil {
+		return err
+	}
+	_ = rc.SetWriteDeadline(time.Time{}) // the next request on the connection has its own; the response has been sent even if this fails
+	return nil
+}
+
 func serve(f Fleet, r *Request, maxBody int64) (*upstream.Response, error) {
 	if r.HTTP.ContentLength > maxBody {
 		err := errors.Errorf("body has %d bytes, limit is %d", r.HTTP.ContentLength, maxBody)
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -33,10 +34,8 @@
 
 func (refusingFleet) RecordEnd(*caller.Request, int, outcome.Outcome, error, time.Duration) {}
 
-// TestRefusalOfALargeRequestReachesItsCaller sends bodies that the server doesn't read, on connections that it closes after its response.
-func TestRefusalOfALargeRequestReachesItsCaller(t *testing.T) {
-	const bodyBytes, requests = 1 << 20, 100
-	is := is.New(t)
+// parseBundle returns a bundle with one service.
+func parseBundle(t *testing.T) *bundle.Bundle {
 	b, err := bundle.Parse("test", []byte(`
 [policy]
 signoffs = 1
@@ -58,9 +57,18 @@
 method = "POST"
 class = "book"
 `))
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestRefusalOfALargeRequestReachesItsCaller sends bodies that the server doesn't read, on connections that it closes after its response.
+func TestRefusalOfALargeRequestReachesItsCaller(t *testing.T) {
+	const bodyBytes, requests = 1 << 20, 100
+	is := is.New(t)
 	e := echo.New()
-	caller.Mount(e, caller.DefaultDialect(), refusingFleet{b}, 16<<20)
+	caller.Mount(e, caller.DefaultDialect(), refusingFleet{parseBundle(t)}, 16<<20)
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Connection", "close")
 		e.ServeHTTP(w, req)
@@ -84,3 +92,65 @@
 		<-sent
 	}
 }
+
+// endlessFleet serves each request with a body without end, and tells how requests ended.
+type endlessFleet struct {
+	bundle *bundle.Bundle
+	ended  chan error
+}
+
+func (f endlessFleet) Bundle() *bundle.Bundle { return f.bundle }
+
+func (endlessFleet) Admit(*caller.Request) error { return nil }
+
+func (endlessFleet) Serve(context.Context, *caller.Request) (*upstream.Response, error) {
+	return &upstream.Response{Status: http.StatusOK, Header: make(http.Header), Length: -1, Body: io.NopCloser(zeros{})}, nil
+}
+
+func (f endlessFleet) RecordEnd(_ *caller.Request, _ int, _ outcome.Outcome, err error, _ time.Duration) {
+	f.ended <- err
+}
+
+// zeros is a body without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestResponseThatNobodyReadsEnds guards against a node that keeps the response of a caller that doesn't read it for as long as that caller
+// stays connected.
+func TestResponseThatNobodyReadsEnds(t *testing.T) {
+	const timeout, patience = 200 * time.Millisecond, 5 * time.Second
+	for _, proto := range []string{"HTTP/1.1", "HTTP/2"} {
+		t.Run(proto, func(t *testing.T) {
+			is := is.New(t)
+			f := endlessFleet{bundle: parseBundle(t), ended: make(chan error, 1)}
+			e := echo.New()
+			caller.Mount(e, caller.DefaultDialect(), f, 16<<20)
+			srv := httptest.NewUnstartedServer(e)
+			srv.Config.Protocols = new(http.Protocols)
+			srv.Config.Protocols.SetHTTP1(true)
+			srv.Config.Protocols.SetUnencryptedHTTP2(true)
+			srv.Start()
+			defer srv.Close()
+			defer srv.CloseClientConnections()
+			transport := &http.Transport{Protocols: new(http.Protocols)}
+			transport.Protocols.SetHTTP1(proto == "HTTP/1.1")
+			transport.Protocols.SetUnencryptedHTTP2(proto == "HTTP/2")
+			defer transport.CloseIdleConnections()
+			req, err := http.NewRequest(http.MethodPost, srv.URL, nil)
+			is.NoErr(err)
+			req.Host = "s.test"
+			req.Header.Set(caller.DefaultDialect().TimeoutHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
+			resp, err := transport.RoundTrip(req)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusOK)
+			select {
+			case err := <-f.ended:
+				is.True(err != nil)
+			case <-time.After(patience):
+				t.Fatal("the response is still kept")
+			}
+		})
+	}
+}
--- a/node/gates.go
+++ b/node/gates.go
@@ -240,6 +240,7 @@
 			continue
 		}
 		gate.RecordRunning(now)
+		gate.CloseIdle(now)
 		suspect := gate.Suspect(now)
 		if suspect == n.gates.announcedSuspect[gate] {
 			continue
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,6 +124,16 @@
 	p.idle = append(p.idle, c)
 }
 
+// expire closes the connections that no request takes any more. The upstream may have sent anything on them, which nobody reads.
+func (p *pool) expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && now.Sub(p.idle[0].lastUsed) >= idleTimeout { // the first was idle for longest
+		_ = p.idle[0].Close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
+}
+
 // close closes the idle connections and makes put close every later one.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -17,6 +17,7 @@
 // it wrote and how many connections were closed by the other side.
 type endlessServer struct {
 	prefix, part  string
+	pause         time.Duration // between prefix and part
 	written, ends atomic.Int64
 }
 
@@ -48,6 +49,7 @@
 	_, id, _ := strings.Cut(string(buf[:n]), "Attempt-Id: ")
 	id, _, _ = strings.Cut(id, "\r\n")
 	_, err = io.WriteString(c, strings.ReplaceAll(s.prefix, "ID", id))
+	time.Sleep(s.pause)
 	for err == nil {
 		n, err = io.WriteString(c, s.part)
 		s.written.Add(int64(n))
@@ -106,3 +108,27 @@
 		})
 	}
 }
+
+// TestBytesAfterAResponseAreNotKept guards against a connection that stays open, with bytes without end after a complete response, because no
+// further request takes it.
+func TestBytesAfterAResponseAreNotKept(t *testing.T) {
+	const maxSent = 8 << 20 // what the buffers of a connection hold
+	is := is.New(t)
+	s := &endlessServer{prefix: "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nContent-Length: 2\r\n\r\nok", part: strings.Repeat("x", 1000), pause: 100 * time.Millisecond}
+	g := newGate(t, s.listen(t), 4)
+	resp, err := g.Do(context.Background(), attempt(1, false))
+	is.NoErr(err)
+	data, _ := resp.Content()
+	is.Equal(string(data), "ok")
+	time.Sleep(2 * s.pause)
+	is.Equal(s.ends.Load(), int64(0)) // the bytes came after the connection had become idle
+	is.True(s.written.Load() < maxSent)
+	g.CloseIdle(time.Now().Add(time.Minute))
+	for range 100 {
+		if s.ends.Load() == 1 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(s.ends.Load(), int64(1))
+}
