The target of a request reaches its upstream as it was sent

A path under /peer.v1.Peer/ was taken for a call between nodes where it was forwarded.

Cause: the target was put into url.URL.Opaque, before which net/http writes the scheme if it begins with two slashes; HTTP/2 has no such path, and net/http cuts the authority off an absolute one; the port of nodes tells its own calls by their path.

Change: the gate writes the request line itself; a target that can't be a path of HTTP/2, or that is one of the node's own calls, travels in a header between nodes. A target that can't be a word of a request line is refused with 400.

--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 	go test ./rollout ./membership ./outlier ./admission ./routing ./quota -rapid.checks 5000 -timeout 20m
 	go test ./node -run TestAcknowledgedDeparturesHold -rapid.checks 20000 -timeout 20m
 	go test ./bundle -run '^$$' -fuzz FuzzParse -fuzztime 20s
-	for f in FuzzConfig FuzzAnnouncement FuzzChunk FuzzKeyed; do go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime 20s || exit 1; done
+	for f in FuzzConfig FuzzAnnouncement FuzzChunk FuzzKeyed FuzzTarget; do go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime 20s || exit 1; done
 
 lint:
 	for m in $(MODULES); do (cd $$m && go run $(LINT) run ./...) || exit 1; done
--- a/caller/request.go
+++ b/caller/request.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,6 +36,9 @@
 	if b.Len() == 0 {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, errors.New("no bundle is in force yet"))
 	}
+	if !validTarget(req.RequestURI) {
+		return nil, badRequest("request target %q can't be forwarded", req.RequestURI)
+	}
 	m, ok := b.Route(req.Host, req.Method, req.URL.Path)
 	if !ok {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
@@ -56,6 +60,14 @@
 	return r, nil
 }
 
+// validTarget reports whether a request target can be forwarded as it is. HTTP/2 lets callers send some that end a line or a word of HTTP/1.1.
+func validTarget(target string) bool {
+	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return false
+	}
+	return strings.HasPrefix(target, "/") || strings.HasPrefix(target, "http://") || strings.HasPrefix(target, "https://")
+}
+
 func badRequest(format string, args ...any) error {
 	return outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, errors.Errorf(format, args...))
 }
--- a/node/run.go
+++ b/node/run.go
@@ -32,6 +32,8 @@
 		MaxHeaderBytes:    int(n.cfg.Limits.Header),
 		Protocols:         new(http.Protocols),
 		ErrorLog:          nil,
+
+		DisableGeneralOptionsHandler: true, // "OPTIONS *" is a request like any other
 	}
 	server.Protocols.SetHTTP1(true)
 	server.Protocols.SetUnencryptedHTTP2(true)
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
@@ -34,6 +36,7 @@
 	hopRequest        = "Hop-Request"
 	hopOrigin         = "Hop-Origin"
 	hopForced         = "Hop-Forced"
+	hopTarget         = "Hop-Target" // request target, if it can't be the path of the forwarded request
 )
 
 // maxSkew is the clock skew between nodes that a forwarded deadline tolerates.
@@ -133,7 +136,9 @@
 	if err != nil {
 		return nil, err
 	}
-	req.URL.Opaque = a.URI // the request target is forwarded exactly as the caller sent it
+	if isPath(a.URI) {
+		req.URL.Opaque = a.URI // exactly as the caller sent it
+	}
 	if a.Length >= 0 {
 		req.ContentLength = a.Length
 	}
@@ -146,6 +151,9 @@
 			delete(req.Header, k)
 		}
 	}
+	if !isPath(a.URI) {
+		req.Header.Set(hopTarget, a.URI)
+	}
 	req.Host = a.Host
 	req.Header.Set(hopClass, a.Class)
 	req.Header.Set(hopAttempt, a.ID)
@@ -169,6 +177,12 @@
 	return req, nil
 }
 
+// isPath reports whether a request target can be the path of a forwarded request. HTTP/2 has no path for one that begins with two slashes or
+// that is an absolute URL, and the port of a node has calls of its own.
+func isPath(target string) bool {
+	return strings.HasPrefix(target, "/") && !strings.HasPrefix(target, "//") && !strings.HasPrefix(target, "/"+peerv1connect.PeerName+"/")
+}
+
 func transportError(ctx context.Context, err error) error {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return outcome.NewError(outcome.Unknown, outcome.CodeCanceled, err)
@@ -257,7 +271,7 @@
 		Deadline:         deadline,
 		AbsoluteDeadline: absoluteDeadline,
 		Method:           req.Method,
-		URI:              req.RequestURI,
+		URI:              cmp.Or(h.Get(hopTarget), req.RequestURI),
 		RequestID:        h.Get(hopRequest),
 		Origin:           h.Get(hopOrigin),
 		Forced:           h.Get(hopForced) != "",
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -201,17 +201,46 @@
 func (x *exchange) send(req *http.Request) error {
 	if req.Body == nil || req.ContentLength >= 0 && req.ContentLength <= maxBufferedBodyBytes {
 		var b bytes.Buffer
-		if err := req.Write(&b); err != nil {
+		if err := writeRequest(&b, req); err != nil {
 			return err
 		}
 		_, err := x.conn.Write(b.Bytes())
 		return err
 	}
 	x.bodySent = make(chan error, 1)
-	go func() { x.bodySent <- req.Write(x.conn) }()
+	go func() { x.bodySent <- writeRequest(x.conn, req) }()
 	return nil
 }
 
+// writeRequest writes the request with its RequestURI as the target, octet for octet. Package net/http would write one that begins with two
+// slashes as an absolute URL.
+func writeRequest(w io.Writer, req *http.Request) error {
+	return req.Write(&requestLineWriter{w: w, line: req.Method + " " + req.RequestURI + " HTTP/1.1\r\n"})
+}
+
+// requestLineWriter replaces the first line that is written to it.
+type requestLineWriter struct {
+	w        io.Writer
+	line     string
+	replaced bool
+}
+
+// Write implements io.Writer.
+func (l *requestLineWriter) Write(p []byte) (int, error) {
+	if l.replaced {
+		return l.w.Write(p)
+	}
+	end := bytes.IndexByte(p, '\n')
+	if end < 0 {
+		return len(p), nil
+	}
+	l.replaced = true
+	if _, err := l.w.Write(append([]byte(l.line), p[end+1:]...)); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
 func (x *exchange) readHead(req *http.Request) (*http.Response, error) {
 	x.conn.limit.limited, x.conn.limit.left = true, maxHeadBytes
 	defer func() { x.conn.limit.limited = false }()
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -90,11 +90,12 @@
 	}
 	announcement := g.Announcement()
 	req := &http.Request{
-		Method: a.Method,
-		URL:    &url.URL{Scheme: "http", Host: announcement.Address, Opaque: a.URI},
-		Host:   a.Host,
-		Header: a.Header,
-		Body:   body,
+		Method:     a.Method,
+		URL:        &url.URL{Scheme: "http", Host: announcement.Address},
+		RequestURI: a.URI, // send writes this one, as it is
+		Host:       a.Host,
+		Header:     a.Header,
+		Body:       body,
 	}
 	if body != nil {
 		req.ContentLength = a.Length
