Headers of an upstream's response are cleaned as those of a request are

Cause: the names by which nodes tell each other how a request ended were open to upstreams, and hop-by-hop headers were taken out of requests only.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -52,7 +52,7 @@
 		f.RecordEnd(r, status, errorOutcome(err), err, time.Since(start))
 		return
 	}
-	w.Header().Set(d.RequestIDHeader, r.ID)
+	resp.Header.Set(d.RequestIDHeader, r.ID)
 	resp.Header.Set(outcome.HeaderName, string(outcome.Ran))
 	if err := sendWithin(w, resp, r.Deadline); err != nil {
 		f.RecordEnd(r, resp.Status, outcome.Unknown, err, time.Since(start))
--- a/node/serve.go
+++ b/node/serve.go
@@ -53,7 +53,7 @@
 		method:        r.HTTP.Method,
 		uri:           r.HTTP.RequestURI,
 		host:          r.HTTP.Host,
-		header:        caller.CleanHeader(r.HTTP.Header),
+		header:        upstream.CleanHeader(r.HTTP.Header),
 		body:          r.Body,
 	}
 	if req.nonIdempotent() && r.Key != "" {
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -16,9 +16,8 @@
 	"github.com/pkg/errors"
 )
 
-// Headers of a forwarded request and its response.
+// Headers of a forwarded request and its response. Their names begin with upstream.ReservedPrefix.
 const (
-	hopPrefix         = "Hop-"
 	hopUpstream       = "Hop-Upstream"
 	hopClass          = "Hop-Class"
 	hopAttempt        = "Hop-Attempt"
@@ -101,7 +100,7 @@
 		return &upstream.Response{Load: load}, hopError(resp.Header)
 	}
 	for k := range resp.Header {
-		if strings.HasPrefix(k, hopPrefix) {
+		if strings.HasPrefix(k, upstream.ReservedPrefix) {
 			delete(resp.Header, k)
 		}
 	}
@@ -147,7 +146,7 @@
 		req.Header = make(http.Header)
 	}
 	for k := range req.Header {
-		if strings.HasPrefix(k, hopPrefix) {
+		if strings.HasPrefix(k, upstream.ReservedPrefix) {
 			delete(req.Header, k)
 		}
 	}
@@ -234,7 +233,7 @@
 	h := req.Header
 	id, key, caller, firstAttempt := h.Get(hopUpstream), h.Get(hopKey), h.Get(hopCaller), h.Get(hopFirstAttempt) != ""
 	for k := range a.Header {
-		if strings.HasPrefix(k, hopPrefix) {
+		if strings.HasPrefix(k, upstream.ReservedPrefix) {
 			delete(a.Header, k)
 		}
 	}
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -162,11 +162,11 @@
 		x.abort()
 		return nil, broken, err
 	}
+	out := &Response{Status: resp.StatusCode, Header: CleanHeader(resp.Header), Length: resp.ContentLength}
 	if !g.dialect.AttemptIsRequestID {
-		resp.Header.Del(g.dialect.AttemptHeader)
+		out.Header.Del(g.dialect.AttemptHeader)
 	}
-	out := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength}
-	out.Trailer = func() http.Header { return resp.Trailer }
+	out.Trailer = func() http.Header { return cleanTrailer(resp.Trailer) }
 	var buf bytes.Buffer
 	_, err := io.CopyN(&buf, resp.Body, maxBufferedResponseBytes)
 	if errors.Is(err, io.EOF) {
