An upstream's status promises nothing, and one that is no final status is no response

Cause: any response to a request that isn't idempotent was handed on as it came; only the system's own answers were kept from promising.

Requests that may be repeated get the upstream's status as before.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -249,13 +249,18 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
+		if !informational(resp.StatusCode) {
 			return resp, nil
 		}
 	}
 	return nil, errors.Errorf("more than %d informational responses", maxInformational)
 }
 
+// informational reports whether another response follows one of the status.
+func informational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // abort closes the connection, which makes the upstream cancel the request.
 func (x *exchange) abort() {
 	x.stopCancel()
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -56,6 +56,10 @@
 		return nil, err
 	}
 	resp, r, err := g.receive(ctx, a, x)
+	if err == nil && a.NonIdempotent && promisesNotRun(resp.Status) {
+		_ = resp.Reader().Close()
+		resp, r, err = nil, failed, outcome.NewError(outcome.Unknown, outcome.CodeUpstreamFailed, errors.Errorf("status %d of the upstream, which doesn't say that it did not run", resp.Status))
+	}
 	if err != nil || resp.Body == nil {
 		end(r)
 		return resp, err
@@ -185,8 +189,26 @@
 	return out, succeeded, nil
 }
 
-// verify checks that the response belongs to the attempt and that a successful one has the required proof header.
+// promisesNotRun reports whether a status tells callers that their request did not run and never will. Only the system says so, on proof.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// Statuses of final responses.
+const (
+	minStatus = http.StatusOK
+	maxStatus = 599
+)
+
+// verify checks that the response is one to the attempt, and that a successful one has the required proof header.
 func (g *Gate) verify(a *Attempt, resp *http.Response) error {
+	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+		return outcome.NewError(outcome.Unknown, outcome.CodeResponseMismatch, errors.Errorf("status %d is not one of a final response", resp.StatusCode))
+	}
 	if got, want := resp.Header.Get(g.dialect.AttemptHeader), g.attemptID(a); got != want {
 		return outcome.NewError(outcome.Unknown, outcome.CodeResponseMismatch, errors.Errorf("response to attempt %q, want %q", got, want))
 	}
