The limit on bodies is the one of the operator's configuration

Cause: the limit was the node's setting limits.body; max_body_bytes was not read.

Evidence: TestBodyLimitOfTheConfigurationHolds got 413 for 17 MiB, through one node and through two.

Change: policy.body of a bundle, from max_body_bytes; the node's setting holds where a bundle has none. Bodies over 64 KiB were streamed and sent once already.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -45,6 +45,9 @@
 // ratio of requests.
 func (p Policy) RetryReserve() float64 { return p.spec.Reserve }
 
+// MaxBodyBytes returns the maximum size in bytes of the body of a request, or 0 for that of the node's settings.
+func (p Policy) MaxBodyBytes() int64 { return int64(p.spec.Body) }
+
 // MaxLinkBytesPerSecond returns the maximum number of bytes per second that one node sends to other regions, or 0 for no limit.
 func (p Policy) MaxLinkBytesPerSecond() int64 { return int64(p.spec.LinkBytes) }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -27,7 +28,8 @@
 	RecordEnd(r *Request, status int, o outcome.Outcome, err error, took time.Duration)
 }
 
-// Mount adds the handler of requests from callers to e. The bodies of requests are limited to maxBody bytes.
+// Mount adds the handler of requests from callers to e. The bodies of requests are limited to maxBody bytes, unless the bundle in force sets
+// another limit.
 func Mount(e *echo.Echo, d Dialect, f Fleet, maxBody int64) {
 	e.RouteNotFound("/*", func(c echo.Context) error {
 		d.handle(f, c.Response().Writer, c.Request(), maxBody)
@@ -37,11 +39,13 @@
 
 func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, maxBody int64) {
 	start := time.Now()
+	bundleInForce := f.Bundle()
+	maxBody = cmp.Or(bundleInForce.Policy().MaxBodyBytes(), maxBody)
 	if req.Body != nil {
 		req = req.WithContext(req.Context()) // a copy: the server waits with the close of a connection only if it finds its own body in the request
 		req.Body = http.MaxBytesReader(w, req.Body, maxBody)
 	}
-	r, err := d.parse(f.Bundle(), req, start)
+	r, err := d.parse(bundleInForce, req, start)
 	if err != nil {
 		d.sendProblem(w, "", err)
 		return
