A priority beyond the last is taken as the last, and doesn't keep a version out of force

Cause: the operator's ranks are whole numbers without an upper bound, those of a bundle go to 9.

Change: a rank outside 0 to 9 is taken as the nearest one, and the node logs "version adjusted" with the route. Routes beyond rank 9 share the last place; their order among each other is lost.

--- a/bundle/document.go
+++ b/bundle/document.go
@@ -10,7 +10,7 @@
 
 // Limits on the values in a bundle.
 const (
-	maxPriority   = 9  // the least urgent priority
+	MaxPriority   = 9  // the least urgent priority
 	maxNameLength = 63 // in bytes
 )
 
@@ -216,8 +216,8 @@
 		if !c.seen["service/"+class.Service] {
 			c.report(key+".service", "service %q is not declared", class.Service)
 		}
-		if class.Priority < 0 || class.Priority > maxPriority {
-			c.report(key+".priority", "is %d, want 0 (most urgent) to %d", class.Priority, maxPriority)
+		if class.Priority < 0 || class.Priority > MaxPriority {
+			c.report(key+".priority", "is %d, want 0 (most urgent) to %d", class.Priority, MaxPriority)
 		}
 		if class.Timeout <= 0 {
 			c.report(key+".timeout", "is not set")
--- a/node/versions.go
+++ b/node/versions.go
@@ -204,9 +204,13 @@
 	n.mu.Lock()
 	accepted := n.rollout.Publish(v.Number, v.Bundle)
 	n.mu.Unlock()
-	if accepted {
-		n.installVersion(v.Number, "store")
+	if !accepted {
+		return
 	}
+	for _, what := range v.Adjusted {
+		_ = level.Warn(n.logger).Log("msg", "version adjusted", "version", v.Number, "what", what)
+	}
+	n.installVersion(v.Number, "store")
 }
 
 // installVersion puts the version that the rollout engine has accepted in force and sends a heartbeat to the neighbours.
