A stopping node records that an upstream drains before it acknowledges that

Cause: the gates of a stopping node drain already, so a draining announcement changed no gate, and only a change of a gate was announced and waited for.

Evidence: TestDrainingAtAStoppingNodeIsRecorded found no departure in the directory after the acknowledgement.

Change: a draining announcement is announced and made durable whatever the state of the gate.

--- a/node/announcement.go
+++ b/node/announcement.go
@@ -36,10 +36,11 @@
 	if applied.changed {
 		n.recordAnnouncement(applied.gate.Announcement())
 	}
-	if applied.changed || len(applied.replaced) > 0 {
+	draining := announcement.State == upstream.Draining // it is recorded also if the gate drains already, since the node stops
+	if applied.changed || draining || len(applied.replaced) > 0 {
 		n.announceUpstreams()
 	}
-	if applied.changed && announcement.State == upstream.Draining {
+	if draining {
 		n.awaitDurable(announcement.ID)
 	}
 	return applied.gate.Outstanding(), nil
