One function tells which statuses promise that a request did not run

Packages upstream and caller each had a copy since the gate applies it to the statuses of upstreams. No change of behaviour.

--- a/caller/problem.go
+++ b/caller/problem.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -39,15 +40,6 @@
 	outcome.CodeKeyLost:          http.StatusConflict,
 }
 
-// impliesNotRun reports whether the status tells a caller that its request was not run.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // serverFault reports whether the code describes a failure of the fleet rather than of the request.
 func serverFault(c outcome.Code) bool {
 	s, ok := statuses[c]
@@ -60,7 +52,7 @@
 	}
 	s, ok := statuses[e.Code]
 	switch {
-	case ok && (e.Outcome != outcome.Unknown || !impliesNotRun(s)):
+	case ok && (e.Outcome != outcome.Unknown || !upstream.PromisesNotRun(s)):
 		return s
 	case e.Outcome == outcome.Unknown:
 		return http.StatusBadGateway
--- a/caller/problem_test.go
+++ b/caller/problem_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/matryer/is"
 )
 
@@ -19,7 +20,7 @@
 	for _, c := range codes {
 		t.Run(string(c), func(t *testing.T) {
 			is := is.New(t)
-			is.True(!impliesNotRun(statusOf(outcome.NewError(outcome.Unknown, c, nil))))
+			is.True(!upstream.PromisesNotRun(statusOf(outcome.NewError(outcome.Unknown, c, nil))))
 		})
 	}
 }
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	resp, r, err := g.receive(ctx, a, x)
-	if err == nil && a.NonIdempotent && promisesNotRun(resp.Status) {
+	if err == nil && a.NonIdempotent && PromisesNotRun(resp.Status) {
 		_ = resp.Reader().Close()
 		resp, r, err = nil, failed, outcome.NewError(outcome.Unknown, outcome.CodeUpstreamFailed, errors.Errorf("status %d of the upstream, which doesn't say that it did not run", resp.Status))
 	}
@@ -189,15 +189,6 @@
 	return out, succeeded, nil
 }
 
-// promisesNotRun reports whether a status tells callers that their request did not run and never will. Only the system says so, on proof.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // Statuses of final responses.
 const (
 	minStatus = http.StatusOK
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -8,6 +8,15 @@
 	"github.com/pkg/errors"
 )
 
+// PromisesNotRun reports whether a status tells callers that their request did not run and never will. Only the system says so, on proof.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // copyBufferSize is the size in bytes of the buffer that copies a streamed response.
 const copyBufferSize = 32 << 10
 
