--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -98,7 +98,7 @@
 	if a.Service == "" || len(a.Service) > maxIDBytes {
 		return &FieldError{field: "service", requirement: "1 to 64 bytes long"}
 	}
-	if _, err := netip.ParseAddrPort(a.Address); err != nil {
+	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 {
 		return &FieldError{field: "address", requirement: "an IP address with a port"}
 	}
 	if a.Slots < 1 || a.Slots > maxSlots {
