A stopping node answers the requests that it ends for as long as the grace allows

Nothing in the log told of it.

Change: the callers' and the nodes' port close when all responses have been sent, or 0.4 s before the end of the grace, 150 ms after the end of the drain at the earliest, as before. The line "port closed" tells how many requests were ended and how many of them had no response when the port closed.

--- a/node/drainable.go
+++ b/node/drainable.go
@@ -13,7 +13,7 @@
 // Times of the end of a server.
 const (
 	firstRequestTimeout = 500 * time.Millisecond // a new connection without a request for this long counts as idle
-	answerTime          = 150 * time.Millisecond // time to send the responses of requests that were ended
+	answerTime          = 150 * time.Millisecond // minimum time to send the responses of requests that were ended
 )
 
 // connStatus is the state of a connection and the time since when it holds.
@@ -53,35 +53,43 @@
 	s.conns[conn] = connStatus{state: state, since: time.Now()}
 }
 
-// busy reports whether a connection carries a request or is new, so that its first request is likely on its way.
-func (s *drainableServer) busy(now time.Time) bool {
+// busy returns the number of connections that carry a request, or are new, so that their first request is likely on its way.
+func (s *drainableServer) busy(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	n := 0
 	for _, c := range s.conns {
 		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < firstRequestTimeout {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // end closes the server. It serves the connections that wait to be accepted and, until ctx ends, the requests that run; those that still run
-// then are ended with a response.
-func (s *drainableServer) end(ctx context.Context) {
+// then are ended with a response, for which they have until closeAt. It returns how many requests were ended and how many connections were
+// busy when it closed them.
+func (s *drainableServer) end(ctx context.Context, closeAt time.Time) (ended, unanswered int) {
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), answerTime)
 	defer cancelStop()
 	_ = s.listener.Stop(stopCtx) // an error means that it is closed already, or that nobody accepts connections
 	s.waitUntilIdle(ctx)
+	ended = s.busy(time.Now())
 	s.endRequests()
-	endCtx, cancelEnd := context.WithTimeout(context.Background(), answerTime)
+	if earliest := time.Now().Add(answerTime); closeAt.Before(earliest) {
+		closeAt = earliest
+	}
+	endCtx, cancelEnd := context.WithDeadline(context.Background(), closeAt)
 	defer cancelEnd()
 	s.waitUntilIdle(endCtx)
+	unanswered = s.busy(time.Now())
 	_ = s.Shutdown(endCtx) // its error says that requests still run, which Run ends
+	return ended, unanswered
 }
 
 // waitUntilIdle waits until no connection is busy or ctx ends.
 func (s *drainableServer) waitUntilIdle(ctx context.Context) {
-	for s.busy(time.Now()) && ctx.Err() == nil {
+	for s.busy(time.Now()) > 0 && ctx.Err() == nil {
 		time.Sleep(conditionPollInterval)
 	}
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -16,6 +16,7 @@
 const (
 	drainHandoverTimeout = 3 * time.Second        // maximum time to hand over the shards
 	shutdownTimeout      = 200 * time.Millisecond // maximum time for goroutines to end after the servers are closed
+	exitTime             = 400 * time.Millisecond // time that the end of the process takes after the callers' port is closed
 	stopRetryAfter       = 50 * time.Millisecond  // value of the Retry-After header: another node can serve the request at once
 )
 
@@ -23,10 +24,17 @@
 type stopPlan struct {
 	refuseAt time.Time // from then on requests are refused
 	endAt    time.Time // requests that still run are ended then
+	closeAt  time.Time // connections are closed then, also those whose response hasn't been sent
 }
 
-func newStopPlan(now time.Time, lameDuck, drain time.Duration) stopPlan {
-	return stopPlan{refuseAt: now.Add(lameDuck), endAt: now.Add(drain)}
+// newStopPlan returns the plan of a node that begins to stop now. After the grace time, if it isn't 0, the process is killed.
+func newStopPlan(now time.Time, lameDuck, drain, grace time.Duration) stopPlan {
+	p := stopPlan{refuseAt: now.Add(lameDuck), endAt: now.Add(drain)}
+	p.closeAt = p.endAt
+	if last := now.Add(grace - exitTime); last.After(p.closeAt) {
+		p.closeAt = last
+	}
+	return p
 }
 
 // takes reports whether a request that typically takes the given time, or 0 if that is unknown, is taken at now.
@@ -81,7 +89,7 @@
 	_ = level.Info(n.logger).Log("msg", "stopping")
 	n.events.Add(event.Event{Kind: event.Stop})
 	leaveTime := time.Now()
-	plan := newStopPlan(leaveTime, n.cfg.Limits.LameDuck.Std(), n.cfg.DrainTimeout())
+	plan := newStopPlan(leaveTime, n.cfg.Limits.LameDuck.Std(), n.cfg.DrainTimeout(), n.cfg.Limits.Grace.Std())
 	n.stopPlan.Store(&plan)
 	n.stopping.Store(true)
 	n.gates.drain()
@@ -97,15 +105,22 @@
 		n.handOverShards(ctx)
 	}
 	n.waitUntil(ctx, func() bool { return n.gates.runningRequests() == 0 })
-	servers.caller.end(ctx)
+	n.endServer(ctx, "callers", servers.caller, plan.closeAt)
 	n.mu.Lock()
 	n.members.SetStatus(time.Now(), membership.Left)
 	n.mu.Unlock()
 	n.tickMembership(ctx, time.Now())
-	servers.peer.end(ctx)
+	n.endServer(ctx, "nodes", servers.peer, plan.closeAt)
 	time.Sleep(2 * membershipTickInterval) // lets the last heartbeats be sent
 }
 
+// endServer ends a server and logs what became of the requests that still ran.
+func (n *Node) endServer(ctx context.Context, clients string, s *drainableServer, closeAt time.Time) {
+	start := time.Now()
+	ended, unanswered := s.end(ctx, closeAt)
+	_ = level.Info(n.logger).Log("msg", "port closed", "clients", clients, "took", time.Since(start), "ended", ended, "unanswered", unanswered)
+}
+
 // handOverShards waits for pending requests with idempotency keys, then hands over the node's shards to other nodes.
 // The node must still respond to its peers meanwhile.
 func (n *Node) handOverShards(ctx context.Context) {
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -15,7 +15,7 @@
 	is.True(running.takes(at(0), time.Hour))
 	is.Equal(running.deadline(at(time.Hour)), at(time.Hour))
 
-	plan := newStopPlan(start, 2*time.Second, 5*time.Second)
+	plan := newStopPlan(start, 2*time.Second, 5*time.Second, 0)
 	tests := []struct {
 		name    string
 		now     time.Duration
@@ -39,3 +39,23 @@
 	is.Equal(plan.deadline(at(4*time.Second)), at(4*time.Second))
 	is.Equal(plan.deadline(at(6*time.Second)), at(5*time.Second))
 }
+
+// TestClosingUsesTheRestOfTheGrace guards against connections being closed, with requests on them, while the process may still run.
+func TestClosingUsesTheRestOfTheGrace(t *testing.T) {
+	start := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name                  string
+		drain, grace, closeAt time.Duration
+	}{
+		{"no grace", 5 * time.Second, 0, 5 * time.Second},
+		{"a long grace", 5200 * time.Millisecond, 6 * time.Second, 6*time.Second - exitTime},
+		{"a short grace", 1300 * time.Millisecond, 1500 * time.Millisecond, 1300 * time.Millisecond},
+		{"a short drain", time.Second, 6 * time.Second, 6*time.Second - exitTime},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(newStopPlan(start, 0, tt.drain, tt.grace).closeAt, start.Add(tt.closeAt))
+		})
+	}
+}
