Idle connections of HTTP/2 don't delay a stop

Cause: Shutdown of net/http waits until its clients have closed their connections of HTTP/2, at most 1 s; it got the whole time in which responses may be sent, though there were none to send.

Change: only the wait for responses has that time; Shutdown has 150 ms again. TestIdleConnectionsDelayNoStop failed before (1.0 s).

--- a/node/drainable.go
+++ b/node/drainable.go
@@ -83,7 +83,9 @@
 	defer cancelEnd()
 	s.waitUntilIdle(endCtx)
 	unanswered = s.busy(time.Now())
-	_ = s.Shutdown(endCtx) // its error says that requests still run, which Run ends
+	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), answerTime)
+	defer cancelShutdown()
+	_ = s.Shutdown(shutdownCtx) // its error says that requests still run, which Run ends, or that connections of HTTP/2 wait for their clients to close
 	return ended, unanswered
 }
 
--- a/node/drainable_test.go
+++ b/node/drainable_test.go
@@ -56,3 +56,27 @@
 		})
 	}
 }
+
+// TestIdleConnectionsDelayNoStop guards against a stopping node that waits, while its upstream gets no requests, for callers to close connections of
+// HTTP/2 that carry none.
+func TestIdleConnectionsDelayNoStop(t *testing.T) {
+	is := is.New(t)
+	listener, err := tcp.Listen("127.0.0.1:0")
+	is.NoErr(err)
+	httpServer := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {})}
+	httpServer.Protocols.SetUnencryptedHTTP2(true)
+	server := newDrainableServer(httpServer, listener)
+	go func() { _ = server.Serve(server.listener) }()
+	defer server.Close()
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("http://" + listener.Addr().String())
+	is.NoErr(err)
+	_ = resp.Body.Close()
+	start := time.Now()
+	ended, unanswered := server.end(context.Background(), start.Add(time.Minute))
+	is.Equal(ended, 0)
+	is.Equal(unanswered, 0)
+	is.True(time.Since(start) < 4*answerTime)
+}
