A stopping node serves the other nodes through its lame-duck period

What callers saw: when nodes stop in turn, each upstream gets nothing from the signal to the node beside it until that has started again, 4 s and more, though it is sound; requests of its service are refused or fail for want of capacity.

Cause: the gates were drained, and the member counted as unusable, from the signal on, while callers were served for the lame-duck period.

Change: the node takes attempts of other nodes for that period, too, if they typically end before the drain does, with their deadlines bounded by it; half a second before its end it announces its upstreams as draining; then the gates refuse. A member that leaves is routed to as long as it doesn't say so of its upstreams.

--- a/node/gates.go
+++ b/node/gates.go
@@ -26,6 +26,9 @@
 	byID       map[string]*upstream.Gate     // gates by upstream ID
 	cancelByID map[string]context.CancelFunc // functions that stop the gates, by upstream ID
 
+	noticed bool // the upstreams are announced as draining, since the node stops
+	drained bool // the gates refuse requests, since the node stops
+
 	roster           upstream.Roster         // current announcements of the upstreams
 	announcedSuspect map[*upstream.Gate]bool // whether the upstream was last announced as suspect; used by sweepGates only
 }
@@ -46,10 +49,18 @@
 	return gates
 }
 
-// drain drains all gates. The lock keeps an announcement that is being applied from opening one again.
+// giveNotice makes the node announce all its upstreams as draining, while the gates still take requests.
+func (s *gateSet) giveNotice() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noticed = true
+}
+
+// drain drains all gates, also those of later announcements.
 func (s *gateSet) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.drained = true
 	for _, gate := range s.byID {
 		gate.Drain()
 	}
@@ -91,9 +102,15 @@
 		upstream.Draining: membership.Draining,
 	}
 	now := time.Now()
+	s.mu.Lock()
+	noticed := s.noticed
+	s.mu.Unlock()
 	var members []membership.Upstream
 	for _, gate := range s.all() {
 		announcement := gate.Announcement()
+		if noticed {
+			announcement.State = upstream.Draining
+		}
 		member := membership.Upstream{ID: announcement.ID, Service: announcement.Service, Slots: announcement.Slots, State: memberStates[announcement.State], Suspect: gate.Suspect(now)}
 		members = append(members, member)
 	}
@@ -127,7 +144,7 @@
 		}
 	}
 	announcement, _ = s.roster.Current(announcement.ID)
-	if n.stopping.Load() {
+	if s.drained {
 		announcement.State = upstream.Draining
 	}
 	applied.gate = s.byID[announcement.ID]
--- a/node/serve.go
+++ b/node/serve.go
@@ -125,6 +125,9 @@
 	if gate == nil {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.Errorf("no upstream %s at this node", upstreamID))
 	}
+	if err := n.limitAttemptByStop(attempt); err != nil {
+		return &upstream.Response{Load: gate.Load(attempt.Class).String()}, err
+	}
 	resp, err := gate.Do(ctx, attempt)
 	n.logFailedAttempt(upstreamID, attempt, gate, resp, err)
 	load := gate.Load(attempt.Class).String()
--- a/node/stop.go
+++ b/node/stop.go
@@ -9,6 +9,7 @@
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -18,11 +19,13 @@
 	shutdownTimeout      = 200 * time.Millisecond // maximum time for goroutines to end after the servers are closed
 	exitTime             = 400 * time.Millisecond // time that the end of the process takes after the callers' port is closed
 	stopRetryAfter       = 50 * time.Millisecond  // value of the Retry-After header: another node can serve the request at once
+	drainNotice          = 500 * time.Millisecond // time for the fleet to learn that the gates of a stopping node will refuse requests
 )
 
 // stopPlan tells what a stopping node does with a request. The zero value is the plan of a node that doesn't stop.
 type stopPlan struct {
-	refuseAt time.Time // from then on requests are refused
+	noticeAt time.Time // the other nodes are told then to send no more requests to the upstreams beside the node
+	refuseAt time.Time // from then on requests are refused, those of callers and those of other nodes
 	endAt    time.Time // requests that still run are ended then
 	closeAt  time.Time // connections are closed then, also those whose response hasn't been sent
 }
@@ -30,7 +33,10 @@
 // newStopPlan returns the plan of a node that begins to stop now. After the grace time, if it isn't 0, the process is killed.
 func newStopPlan(now time.Time, lameDuck, drain, grace time.Duration) stopPlan {
 	p := stopPlan{refuseAt: now.Add(lameDuck), endAt: now.Add(drain)}
-	p.closeAt = p.endAt
+	p.noticeAt, p.closeAt = now, p.endAt
+	if notice := p.refuseAt.Add(-drainNotice); notice.After(now) {
+		p.noticeAt = notice
+	}
 	if last := now.Add(grace - exitTime); last.After(p.closeAt) {
 		p.closeAt = last
 	}
@@ -60,7 +66,7 @@
 		return nil
 	}
 	if !plan.takes(time.Now(), n.typicalTime(r)) {
-		err := outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("the node stops"))
+		err := stoppingError()
 		err.RetryAfter = stopRetryAfter
 		return err
 	}
@@ -68,6 +74,23 @@
 	return nil
 }
 
+// limitAttemptByStop does the same for an attempt at an upstream beside a stopping node.
+func (n *Node) limitAttemptByStop(a *upstream.Attempt) error {
+	plan := n.stopPlan.Load()
+	if plan == nil {
+		return nil
+	}
+	if !plan.takes(time.Now(), a.TypicalLatency) {
+		return stoppingError()
+	}
+	a.Deadline = plan.deadline(a.Deadline)
+	return nil
+}
+
+func stoppingError() *outcome.Error {
+	return outcome.NewError(outcome.NotRun, outcome.CodeDraining, errors.New("the node stops"))
+}
+
 // typicalTime returns the median service time of the request's class over the upstreams of its service, or 0 if the service is unknown.
 func (n *Node) typicalTime(r *caller.Request) time.Duration {
 	state := (*n.services.Load())[r.Match.Service.Name()]
@@ -83,8 +106,8 @@
 	return state.balancer.TypicalServiceTime(time.Now(), classIndex, r.Match.Class.Objective())
 }
 
-// stop stops the node gracefully. It announces that the node is leaving and, for the lame-duck period, still takes requests that can end in time. Then it
-// refuses requests until those that run have ended, hands over the shards and closes the servers.
+// stop stops the node gracefully. It announces that the node is leaving and, for the lame-duck period, still takes requests of callers and of other
+// nodes that can end in time. Then it refuses requests until those that run have ended, hands over the shards and closes the servers.
 func (n *Node) stop(servers servers) {
 	_ = level.Info(n.logger).Log("msg", "stopping")
 	n.events.Add(event.Event{Kind: event.Stop})
@@ -92,14 +115,16 @@
 	plan := newStopPlan(leaveTime, n.cfg.Limits.LameDuck.Std(), n.cfg.DrainTimeout(), n.cfg.Limits.Grace.Std())
 	n.stopPlan.Store(&plan)
 	n.stopping.Store(true)
-	n.gates.drain()
 	n.mu.Lock()
 	n.members.SetStatus(leaveTime, membership.Leaving)
-	n.members.SetUpstreams(leaveTime, n.gates.memberUpstreams(), n.gates.departures(leaveTime))
 	n.mu.Unlock()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.endAt)
 	defer cancel()
+	n.sleep(ctx, time.Until(plan.noticeAt))
+	n.gates.giveNotice()
+	n.announceUpstreams()
 	n.sleep(ctx, time.Until(plan.refuseAt))
+	n.gates.drain()
 	servers.caller.waitUntilIdle(ctx)
 	if !n.protocols.hasConfigSource() {
 		n.handOverShards(ctx)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -16,6 +16,8 @@
 	is.Equal(running.deadline(at(time.Hour)), at(time.Hour))
 
 	plan := newStopPlan(start, 2*time.Second, 5*time.Second, 0)
+	is.Equal(plan.noticeAt, at(1500*time.Millisecond)) // the fleet knows before the gates refuse
+	is.Equal(newStopPlan(start, drainNotice/2, time.Second, 0).noticeAt, start)
 	tests := []struct {
 		name    string
 		now     time.Duration
--- a/node/upstreams.go
+++ b/node/upstreams.go
@@ -51,7 +51,7 @@
 		Node:    m.Name,
 		Tier:    n.tierOf(m),
 		Slots:   u.Slots,
-		Ready:   m.Status == membership.Alive && u.State != membership.Draining,
+		Ready:   isLive(m) && u.State != membership.Draining,
 		Suspect: u.Suspect,
 	}
 }
