--- a/peer/client.go
+++ b/peer/client.go
@@ -30,7 +30,7 @@
 	maxHeadBytes         = 256 << 10 // head, informational responses or trailer of a response, in the size that HTTP/2 counts
 	maxUnreadBytes       = 256 << 10 // received body of one response that nobody has read yet
 	maxUnreadBytesOfNode = 4 << 20   // the same for all responses of a node
-	maxMessageBytes      = 2 << 20   // one control message, such as the records of 900 nodes, 1 MB
+	maxMessageBytes      = 2 << 20   // one control message, such as the records of 900 nodes
 	maxStateBytes        = 16 << 20  // what Fetch and Events return
 )
 
