A stopping node doesn't cut the responses of the requests that it ends

Change: Shutdown is called only when no connection is busy; where some still are, the node says that it has left, closes the nodes' port, and goes on answering, for 5 s at most, before it closes them. A process that is killed before loses nothing by that.

--- a/node/drainable.go
+++ b/node/drainable.go
@@ -14,6 +14,7 @@
 const (
 	firstRequestTimeout = 500 * time.Millisecond // a new connection without a request for this long counts as idle
 	answerTime          = 150 * time.Millisecond // minimum time to send the responses of requests that were ended
+	lateAnswerTime      = 5 * time.Second        // time after which a process that nobody kills stops to wait for responses
 )
 
 // connStatus is the state of a connection and the time since when it holds.
@@ -68,7 +69,7 @@
 
 // end closes the server. It serves the connections that wait to be accepted and, until ctx ends, the requests that run; those that still run
 // then are ended with a response, for which they have until closeAt. It returns how many requests were ended and how many connections were
-// busy when it closed them.
+// still busy then, for which finish waits.
 func (s *drainableServer) end(ctx context.Context, closeAt time.Time) (ended, unanswered int) {
 	stopCtx, cancelStop := context.WithTimeout(context.Background(), answerTime)
 	defer cancelStop()
@@ -82,13 +83,28 @@
 	endCtx, cancelEnd := context.WithDeadline(context.Background(), closeAt)
 	defer cancelEnd()
 	s.waitUntilIdle(endCtx)
-	unanswered = s.busy(time.Now())
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), answerTime)
-	defer cancelShutdown()
-	_ = s.Shutdown(shutdownCtx) // its error says that requests still run, which Run ends, or that connections of HTTP/2 wait for their clients to close
+	if unanswered = s.busy(time.Now()); unanswered == 0 {
+		s.shutDown()
+	}
 	return ended, unanswered
 }
 
+// shutDown closes the connections, which carry no request.
+func (s *drainableServer) shutDown() {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	_ = s.Shutdown(ctx) // its error says that connections of HTTP/2 wait for their clients to close, which Run doesn't
+}
+
+// finish waits for the responses that end has not seen sent, and closes their connections. The process is about to be killed, or it isn't, and then
+// nothing is gained by cutting them.
+func (s *drainableServer) finish() {
+	ctx, cancel := context.WithTimeout(context.Background(), lateAnswerTime)
+	defer cancel()
+	s.waitUntilIdle(ctx)
+	s.shutDown()
+}
+
 // waitUntilIdle waits until no connection is busy or ctx ends.
 func (s *drainableServer) waitUntilIdle(ctx context.Context) {
 	for s.busy(time.Now()) > 0 && ctx.Err() == nil {
--- a/node/drainable_test.go
+++ b/node/drainable_test.go
@@ -10,18 +10,20 @@
 	"github.com/matryer/is"
 )
 
-// TestEndedRequestsAreAnsweredUntilTheClose guards against a stopping node that closes the connections of requests which it has ended before a
-// busy machine has let it send their responses, while it could have waited.
-func TestEndedRequestsAreAnsweredUntilTheClose(t *testing.T) {
+// TestEndedRequestsAreAnswered guards against a stopping node that closes the connections of requests which it has ended before a busy machine
+// has let it send their responses, while it could have waited.
+func TestEndedRequestsAreAnswered(t *testing.T) {
 	const lateness = 3 * answerTime
 	tests := []struct {
 		name              string
 		closeAfter        time.Duration
+		finished          bool
 		answered          bool
 		ended, unanswered int
 	}{
-		{"in time", 2 * lateness, true, 1, 0},
-		{"too late", lateness / 2, false, 1, 1},
+		{"before the close", 2 * lateness, false, true, 1, 0},
+		{"after the close", lateness / 2, true, true, 1, 1},
+		{"not at all", lateness / 2, false, false, 1, 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -51,6 +53,9 @@
 			ended, unanswered := server.end(ctx, time.Now().Add(tt.closeAfter))
 			is.Equal(ended, tt.ended)
 			is.Equal(unanswered, tt.unanswered)
+			if tt.finished {
+				server.finish()
+			}
 			_ = server.Server.Close()
 			is.Equal(<-result == nil, tt.answered)
 		})
--- a/node/stop.go
+++ b/node/stop.go
@@ -27,7 +27,7 @@
 	noticeAt time.Time // the other nodes are told then to send no more requests to the upstreams beside the node
 	refuseAt time.Time // from then on requests are refused, those of callers and those of other nodes
 	endAt    time.Time // requests that still run are ended then
-	closeAt  time.Time // connections are closed then, also those whose response hasn't been sent
+	closeAt  time.Time // the node goes on with its end then, though responses remain to be sent
 }
 
 // newStopPlan returns the plan of a node that begins to stop now. After the grace time, if it isn't 0, the process is killed.
@@ -130,20 +130,24 @@
 		n.handOverShards(ctx)
 	}
 	n.waitUntil(ctx, func() bool { return n.gates.runningRequests() == 0 })
-	n.endServer(ctx, "callers", servers.caller, plan.closeAt)
+	unanswered := n.endServer(ctx, "callers", servers.caller, plan.closeAt)
 	n.mu.Lock()
 	n.members.SetStatus(time.Now(), membership.Left)
 	n.mu.Unlock()
 	n.tickMembership(ctx, time.Now())
 	n.endServer(ctx, "nodes", servers.peer, plan.closeAt)
 	time.Sleep(2 * membershipTickInterval) // lets the last heartbeats be sent
+	if unanswered > 0 {
+		servers.caller.finish()
+	}
 }
 
-// endServer ends a server and logs what became of the requests that still ran.
-func (n *Node) endServer(ctx context.Context, clients string, s *drainableServer, closeAt time.Time) {
+// endServer ends a server, logs what became of the requests that still ran, and returns how many have no response yet.
+func (n *Node) endServer(ctx context.Context, clients string, s *drainableServer, closeAt time.Time) (unanswered int) {
 	start := time.Now()
 	ended, unanswered := s.end(ctx, closeAt)
 	_ = level.Info(n.logger).Log("msg", "port closed", "clients", clients, "took", time.Since(start), "ended", ended, "unanswered", unanswered)
+	return unanswered
 }
 
 // handOverShards waits for pending requests with idempotency keys, then hands over the node's shards to other nodes.
