--- a/node/drainable_test.go
+++ b/node/drainable_test.go
@@ -38,7 +38,7 @@
 				w.WriteHeader(http.StatusBadGateway)
 			})}, listener)
 			go func() { _ = server.Serve(server.listener) }()
-			defer server.Close()
+			defer func() { is.NoErr(server.Close()) }()
 			result := make(chan error, 1)
 			go func() {
 				resp, err := http.Get("http://" + listener.Addr().String())
@@ -56,7 +56,7 @@
 			if tt.finished {
 				server.finish()
 			}
-			_ = server.Server.Close()
+			is.NoErr(server.Close())
 			is.Equal(<-result == nil, tt.answered)
 		})
 	}
@@ -72,7 +72,7 @@
 	httpServer.Protocols.SetUnencryptedHTTP2(true)
 	server := newDrainableServer(httpServer, listener)
 	go func() { _ = server.Serve(server.listener) }()
-	defer server.Close()
+	defer func() { is.NoErr(server.Close()) }()
 	transport := &http.Transport{Protocols: new(http.Protocols)}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	defer transport.CloseIdleConnections()
