--- a/node/drainable.go
+++ b/node/drainable.go
@@ -89,7 +89,7 @@
 	return ended, unanswered
 }
 
-// shutDown closes the connections, which carry no request.
+// shutDown closes the connections. One that carries a request stays open until Run closes it.
 func (s *drainableServer) shutDown() {
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
--- a/node/drainable_test.go
+++ b/node/drainable_test.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// TestIdleConnectionsDelayNoStop guards against a stopping node that waits, while its upstream gets no requests, for callers to close connections of
-// HTTP/2 that carry none.
+// TestIdleConnectionsDelayNoStop guards against a stopping node that waits for its clients to close connections of HTTP/2 which carry no request:
+// until it has started again, the upstream beside it gets nothing.
 func TestIdleConnectionsDelayNoStop(t *testing.T) {
 	is := is.New(t)
 	listener, err := tcp.Listen("127.0.0.1:0")
--- a/node/stop.go
+++ b/node/stop.go
@@ -27,7 +27,7 @@
 	noticeAt time.Time // the other nodes are told then to send no more requests to the upstreams beside the node
 	refuseAt time.Time // from then on requests are refused, those of callers and those of other nodes
 	endAt    time.Time // requests that still run are ended then
-	closeAt  time.Time // the node goes on with its end then, though responses remain to be sent
+	closeAt  time.Time // the node says that it has left then, even if responses remain to be sent
 }
 
 // newStopPlan returns the plan of a node that begins to stop now. After the grace time, if it isn't 0, the process is killed.
@@ -74,7 +74,8 @@
 	return nil
 }
 
-// limitAttemptByStop does the same for an attempt at an upstream beside a stopping node.
+// limitAttemptByStop refuses an attempt at an upstream beside a stopping node that can no longer end in time, and shortens the deadline of one that
+// is taken.
 func (n *Node) limitAttemptByStop(a *upstream.Attempt) error {
 	plan := n.stopPlan.Load()
 	if plan == nil {
