Log reads of the published versions and stalls of the process

The logs couldn't tell why a version was late: a read that is answered left no line, one that failed left one only if the call before it had succeeded, without its offset, its hold and how long it took, and a process that stood still didn't say so.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -26,6 +26,8 @@
 	bundleVersion    prometheus.Gauge
 	ownedShards      prometheus.Gauge
 	logServiceUp     prometheus.Gauge
+	versionReads     *prometheus.CounterVec
+	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
 }
 
@@ -57,9 +59,13 @@
 		bundleVersion:    gauge("bundle_version", "Newest accepted version of the bundle."),
 		ownedShards:      gauge("owned_shards", "Shards of idempotency keys owned by this node."),
 		logServiceUp:     gauge("log_up", "1 while the platform's log service responds, else 0."),
-		linkBytes:        prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
+		versionReads: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "jasmine", Name: "version_reads_total", Help: "Reads of the published versions by result: news, none or failed.",
+		}, []string{"result"}),
+		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
+		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes,
+	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,7 @@
 	unresponsive unresponsiveNodes
 	limits       rateLimits
 	startedAt    time.Time
+	stalls       stallDetector // used by reportStall only
 	recall       recall
 	departureLog departureLog
 	stopping     atomic.Bool
--- a/node/run.go
+++ b/node/run.go
@@ -102,7 +102,10 @@
 func (n *Node) startLoops(ctx context.Context) {
 	n.runEvery(ctx, membershipTickInterval, n.tickMembership)
 	n.runEvery(ctx, gaugeUpdateInterval, n.updateEjectedGauge)
-	n.runEvery(ctx, gateSweepInterval, n.sweepGates)
+	n.runEvery(ctx, gateSweepInterval, func(ctx context.Context, now time.Time) {
+		n.reportStall(now)
+		n.sweepGates(ctx, now)
+	})
 	if n.protocols.hasConfigSource() {
 		n.spawn(func() { n.join(ctx) })
 		n.spawn(func() { n.recordDepartures(ctx) })
--- a/node/versions.go
+++ b/node/versions.go
@@ -49,7 +49,11 @@
 		}
 		sentAt := n.recordNewestSent()
 		versions, offset, rejected, err := n.protocols.configSource.Newest(ctx)
-		if ctx.Err() != nil || !n.callSucceeded(ctx, err, sentAt, &b) {
+		if ctx.Err() != nil {
+			continue
+		}
+		n.recordRead(versionRead{sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
+		if !n.callSucceeded(ctx, err, sentAt, &b) {
 			continue
 		}
 		next, started = offset, true
@@ -93,6 +97,7 @@
 	if err != nil && readCtx.Err() != nil {
 		return true // the node stops, or the read was held for too long
 	}
+	n.recordRead(versionRead{from: *next, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
 	if errors.Is(err, platform.ErrGap) {
 		n.recordReadFailed()
 		_ = level.Info(n.logger).Log("msg", "versions missed", "after", *next, "err", err)
@@ -110,6 +115,38 @@
 	return true
 }
 
+// versionRead is a read of the published versions that has ended.
+type versionRead struct {
+	from     platform.Offset // 0 for a read of the newest version
+	hold     time.Duration   // how long the log service was allowed to hold it
+	sentAt   time.Time
+	versions int // number of versions that it returned, invalid ones included
+	err      error
+}
+
+// result returns the value of the metric's label for the read.
+func (r versionRead) result() string {
+	switch {
+	case r.err != nil:
+		return "failed"
+	case r.versions > 0:
+		return "news"
+	}
+	return "none"
+}
+
+// recordRead counts a read, and logs it unless it returned nothing.
+func (n *Node) recordRead(r versionRead) {
+	n.metrics.versionReads.WithLabelValues(r.result()).Inc()
+	took := time.Since(r.sentAt)
+	switch {
+	case r.err != nil:
+		_ = level.Warn(n.logger).Log("msg", "read failed", "from", r.from, "hold", r.hold, "took", took, "err", r.err)
+	case r.versions > 0:
+		_ = level.Info(n.logger).Log("msg", "read", "from", r.from, "hold", r.hold, "took", took, "versions", r.versions)
+	}
+}
+
 // applyVersions applies an answer of the log service and records that it was applied.
 func (n *Node) applyVersions(versions []platform.Version, rejected []error) {
 	for _, e := range rejected {
