--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -34,6 +34,7 @@
 	peers                  map[string]int  // versions that other nodes told of, by name
 	cutFrom                map[string]bool // nodes whose answers don't arrive
 	cutStore               bool            // its reads get no answer
+	silences               int             // how often its open connections to the store have gone silent for good, of which TCP tells nothing
 	refused                bool            // the store refuses its reads
 	down                   bool
 	frozen                 time.Time // the node stands still until then
@@ -265,25 +266,39 @@
 	n.reader.Sent(f.now, hold)
 	n.reading = true
 	n.calls++
-	f.poll(n, f.now, f.now.Add(hold), f.now.Add(hold+readTimeout), false)
+	f.poll(n, simRead{sentAt: f.now, held: f.now.Add(hold), timeout: f.now.Add(hold + readTimeout), silences: n.silences})
+}
+
+// simRead is a read of the store that isn't answered yet.
+type simRead struct {
+	sentAt, held, timeout time.Time
+	cut                   bool // it gets no answer, since the node was cut off from the store
+	silences              int  // of the node when the read was sent; with another number it gets no answer, either
+}
+
+// silence makes the open connection of a node to the store silent for good.
+func (f *simFleet) silence(n *simNode) {
+	n.silences++
+	n.unsettle(f.now)
 }
 
 // poll checks once in a step whether a read is to be answered.
-func (f *simFleet) poll(n *simNode, sentAt, held, timeout time.Time, cut bool) {
+func (f *simFleet) poll(n *simNode, r simRead) {
 	f.after(step, n, func() {
-		if n.cutStore && !cut {
-			cut = true
-			if lost := f.now.Add(probeTimeout); lost.Before(timeout) {
-				timeout = lost
+		if n.cutStore && !r.cut {
+			r.cut = true
+			if lost := f.now.Add(probeTimeout); lost.Before(r.timeout) {
+				r.timeout = lost
 			}
 		}
+		lost := r.cut || r.silences != n.silences
 		news := n.version < f.version
 		switch {
-		case n.refused || cut && f.now.After(timeout):
-			pause := max(shortestPause, min(longestPause, failedPause<<n.failures)-f.now.Sub(sentAt))
+		case n.refused && !lost || lost && f.now.After(r.timeout):
+			pause := max(shortestPause, min(longestPause, failedPause<<n.failures)-f.now.Sub(r.sentAt))
 			n.failures++
 			f.endRead(n, pause, n.reader.Failed)
-		case !cut && (news || !f.now.Before(held)):
+		case !lost && (news || !f.now.Before(r.held)):
 			version := f.version
 			f.after(callTime/2, n, func() {
 				f.learn(n, version)
@@ -295,7 +310,7 @@
 				f.endRead(n, pause, func() { n.reader.Answered(f.now, news) })
 			})
 		default:
-			f.poll(n, sentAt, held, timeout, cut)
+			f.poll(n, r)
 		}
 	})
 }
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -78,6 +78,44 @@
 	}
 }
 
+// TestVersionsArriveThoughOpenReadsAreNeverAnswered lets all open connections to the store go silent for good at drawn times, of which TCP tells
+// nothing, and publishes a version at some time after it.
+func TestVersionsArriveThoughOpenReadsAreNeverAnswered(t *testing.T) {
+	tests := []struct {
+		name  string
+		alone bool
+		after time.Duration // time from the silence to the version
+	}{
+		{"readers of a data centre, at once", false, 0},
+		{"readers of a data centre, later", false, settledWindow},
+		{"nodes that read alone, at once", true, 0},
+		{"nodes that read alone, later", true, settledWindow},
+	}
+	for _, apply := range []time.Duration{applyBound, 3 * time.Second} {
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%v/%s", apply, tt.name), func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(1, 1))
+				for range 30 {
+					f := newSimFleet(12, apply, false)
+					if f.alone = tt.alone; f.alone {
+						for _, n := range f.nodes {
+							n.reader.SetCandidates([]string{n.name})
+						}
+					}
+					f.run(8*time.Second + time.Duration(rnd.IntN(6000))*time.Millisecond)
+					for _, n := range f.nodes {
+						f.silence(n)
+					}
+					f.run(tt.after)
+					if took := f.publish(); took > max(apply, settledWindow-tt.after) {
+						t.Fatalf("in force after %v", took)
+					}
+				}
+			})
+		}
+	}
+}
+
 // reading returns the number of nodes other than the first that read now.
 func (f *simFleet) reading() int {
 	count := 0
@@ -164,7 +202,13 @@
 			for range rapid.IntRange(0, 4).Draw(rt, "faults") {
 				check(time.Duration(rapid.IntRange(0, 8).Draw(rt, "after")) * step)
 				n, d := node(), time.Duration(rapid.IntRange(1, 60).Draw(rt, "tenths"))*100*time.Millisecond
-				switch rapid.SampledFrom([]string{"freeze", "power", "store", "refuse"}).Draw(rt, "fault") {
+				switch rapid.SampledFrom([]string{"freeze", "power", "store", "refuse", "silence", "silence of all"}).Draw(rt, "fault") {
+				case "silence":
+					f.silence(n)
+				case "silence of all":
+					for _, n := range f.nodes {
+						f.silence(n)
+					}
 				case "freeze":
 					f.freeze(n, d)
 				case "power":
