No read of the configuration is awaited for longer than a version may take to be in force

Cause: in regions of up to 32 nodes each node read the configuration for itself, in one read that the store might hold for 20 s, with a limit of 21 s, and relied on nobody. That the connection was alive was known from TCP's probes alone; behind a forwarder, or where the store itself had lost the answer, they are answered though nothing arrives. After the store was away that holds for all nodes, so none could tell another.

Change: every read is held for at most a third of platform.apply, and given up half of it later (answerShare). One reader for each data centre, with the confirmations that large regions have, at any size: maxOwnReaders and the long hold are gone, and with them the code that ended a long read. TestReadIsNotHeldForLongOnceOthersRelyOnTheNode becomes TestNoReadIsAwaitedForLong, which wants that of every node.

--- a/membership/index.go
+++ b/membership/index.go
@@ -98,17 +98,6 @@
 	return &ring{}
 }
 
-// regionSize returns the number of nodes in the rings of a region.
-func (ix *index) regionSize(name string) int {
-	size := 0
-	for _, r := range ix.rings {
-		if r.at(0).Region == name {
-			size += len(r.nodes)
-		}
-	}
-	return size
-}
-
 // indexOf returns the index of a node in the ring, or -1 if it is not in it.
 func (r *ring) indexOf(m *memberState) int {
 	i, found := slices.BinarySearchFunc(r.nodes, m, compareByPosition)
--- a/membership/neighbour.go
+++ b/membership/neighbour.go
@@ -12,10 +12,6 @@
 // readersPerDataCentre is the number of nodes that may read the log service for a data centre.
 const readersPerDataCentre = 2
 
-// maxOwnReaders is the maximum number of nodes in a region in which each node reads the log service for itself: that costs hardly more
-// calls there than relying on another node, which must then be watched.
-const maxOwnReaders = 32
-
 // chooseNeighbours selects the neighbours: the successors and the node half-way round in the ring of the data centre
 // and, if this node is a relay, relays of other data centres.
 func (e *Engine) chooseNeighbours() {
@@ -72,12 +68,8 @@
 	return e.index.ring(e.self.DataCentre).indexOf(e.self) < relaysPerDataCentre
 }
 
-// Readers returns the names of the nodes that may read the log service for this node, by preference: at most two of its data centre, or
-// the node itself in a small region.
+// Readers returns the names of the nodes that may read the log service for this node, by preference: at most two of its data centre.
 func (e *Engine) Readers() []string {
-	if e.index.regionSize(e.self.Region) <= maxOwnReaders {
-		return []string{e.self.Name}
-	}
 	var names []string
 	for _, m := range e.index.ring(e.self.DataCentre).nodes {
 		if m.Status == Alive && len(names) < readersPerDataCentre {
--- a/node/node.go
+++ b/node/node.go
@@ -56,7 +56,6 @@
 	rollout        *rollout.Engine
 	owners         *ownership.Engine
 	versionReader  *rollout.Reader                       // whether this node reads the published versions; nil with the own protocols
-	cancelRead     context.CancelFunc                    // ends the last read of the published versions; nil before the first
 	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
 	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
 	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
--- a/node/versions.go
+++ b/node/versions.go
@@ -47,8 +47,10 @@
 			started = n.readVersions(ctx, &next, &b)
 			continue
 		}
-		sentAt := n.recordNewestSent()
-		versions, offset, rejected, err := n.protocols.configSource.Newest(ctx)
+		sentAt, answerTime := n.recordNewestSent()
+		readCtx, cancel := context.WithTimeout(ctx, answerTime)
+		versions, offset, rejected, err := n.protocols.configSource.Newest(readCtx)
+		cancel()
 		if ctx.Err() != nil {
 			continue
 		}
@@ -85,17 +87,16 @@
 
 // readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
 func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
-	readCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	sentAt := time.Now()
 	n.mu.Lock()
-	hold := n.versionReader.Hold(sentAt)
+	hold, answerTime := n.versionReader.Hold(sentAt), n.versionReader.AnswerTime()
 	n.versionReader.Sent(sentAt, hold)
-	n.cancelRead = cancel
 	n.mu.Unlock()
+	readCtx, cancel := context.WithTimeout(ctx, hold+answerTime)
+	defer cancel()
 	versions, after, rejected, err := n.protocols.configSource.Follow(readCtx, *next, hold)
-	if err != nil && readCtx.Err() != nil {
-		return true // the node stops, or the read was held for too long
+	if ctx.Err() != nil {
+		return true
 	}
 	n.recordRead(versionRead{from: *next, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
 	if errors.Is(err, platform.ErrGap) {
@@ -160,13 +161,14 @@
 	n.versionReader.Answered(time.Now(), len(versions)+len(rejected) > 0)
 }
 
-// recordNewestSent records that the newest version is requested, which the log service doesn't hold, and returns the time.
-func (n *Node) recordNewestSent() time.Time {
-	now := time.Now()
+// recordNewestSent records that the newest version is requested, which the log service doesn't hold. It returns the time, and how long the
+// answer may take.
+func (n *Node) recordNewestSent() (now time.Time, answerTime time.Duration) {
+	now = time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.versionReader.Sent(now, 0)
-	return now
+	return now, n.versionReader.AnswerTime()
 }
 
 func (n *Node) recordReadFailed() {
@@ -175,13 +177,10 @@
 	n.versionReader.Failed()
 }
 
-// tickReader asks a reader of the data centre to confirm that it reads, if that is due, and ends a read that is held for too long.
+// tickReader asks a reader of the data centre to confirm that it reads, if that is due.
 func (n *Node) tickReader(_ context.Context, now time.Time) {
 	n.mu.Lock()
 	n.versionReader.SetCandidates(n.members.Readers())
-	if n.cancelRead != nil && n.versionReader.HeldTooLong() {
-		n.cancelRead()
-	}
 	name, due := n.versionReader.Ask(now)
 	to, known := n.members.Member(name)
 	msg, timeout := n.members.Heartbeat(), n.versionReader.AskTimeout()
--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -13,7 +13,6 @@
 const (
 	step          = 10 * time.Millisecond  // of the simulated time
 	callTime      = 20 * time.Millisecond  // time of an answered call
-	readTimeout   = time.Second            // time beyond its hold after which a node gives a read up
 	probeTimeout  = 2 * time.Second        // time after which TCP closes the connection of a read that is cut off
 	failedPause   = 300 * time.Millisecond // time from the start of a failed read to the next, doubled with each one up to longestPause
 	longestPause  = 1200 * time.Millisecond
@@ -266,7 +265,7 @@
 	n.reader.Sent(f.now, hold)
 	n.reading = true
 	n.calls++
-	f.poll(n, simRead{sentAt: f.now, held: f.now.Add(hold), timeout: f.now.Add(hold + readTimeout), silences: n.silences})
+	f.poll(n, simRead{sentAt: f.now, held: f.now.Add(hold), timeout: f.now.Add(hold + n.reader.AnswerTime()), silences: n.silences})
 }
 
 // simRead is a read of the store that isn't answered yet.
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -15,17 +15,17 @@
 	otherStart    = 2 * time.Second        // time after the start until other nodes begin to follow without a confirmation
 	returnTime    = 5 * time.Second        // time after which a node that relies on another candidate asks the first one again
 	maxDenials    = 2                      // number of answers without confirmation in a row after which another candidate is asked
-	aloneHold     = 20 * time.Second       // how long the log service may hold a read of a node on which nobody relies
 )
 
 // Shares of the time within which a version must be in force. A reader that loses the log service without a sign confirms for
 // proofShare, and what it confirmed holds for leaseShare after it; the rest is for the nodes that relied on it to read for themselves.
 const (
-	holdShare  = 0.33 // how long the log service may hold a read of a candidate
-	proofShare = 0.48 // age of what a candidate knows up to which it confirms
-	leaseShare = 0.40 // time after a request for confirmation during which its answer holds
-	askShare   = 0.20 // interval between requests while they are answered
-	waitShare  = 0.10 // time to wait for the answer to a request
+	holdShare   = 0.33 // how long the log service may hold a read
+	answerShare = 0.50 // how long an answer may take beyond that: nothing but time tells that a connection has gone silent
+	proofShare  = 0.48 // age of what a candidate knows up to which it confirms
+	leaseShare  = 0.40 // time after a request for confirmation during which its answer holds
+	askShare    = 0.20 // interval between requests while they are answered
+	waitShare   = 0.10 // time to wait for the answer to a request
 )
 
 // Reader decides whether a node reads the published versions from the log service itself. In a large fleet only the first candidate
@@ -39,7 +39,7 @@
 	candidates []string  // nodes that read for the data centre, by preference
 	preferred  int       // index of the candidate that is asked next
 
-	hold, proofTime, leaseTime, askInterval, askTimeout time.Duration // see the shares above
+	hold, answerTime, proofTime, leaseTime, askInterval, askTimeout time.Duration // see the shares above
 
 	leaseUntil  time.Time     // another node has confirmed that it reads; holds until then
 	demandUntil time.Time     // other nodes rely on this node until then
@@ -59,7 +59,7 @@
 	share := func(s float64) time.Duration { return time.Duration(s * float64(apply)) }
 	return &Reader{
 		self: self, startedAt: now, firstRead: now.Add(time.Duration(rnd.Int64N(int64(maxFirstDelay)))),
-		hold: share(holdShare), proofTime: share(proofShare), leaseTime: share(leaseShare), askInterval: share(askShare), askTimeout: share(waitShare),
+		hold: share(holdShare), answerTime: share(answerShare), proofTime: share(proofShare), leaseTime: share(leaseShare), askInterval: share(askShare), askTimeout: share(waitShare),
 	}
 }
 
@@ -96,17 +96,17 @@
 	if r.reliedUpon() {
 		return max(0, r.hold-now.Sub(r.currentAt))
 	}
-	return aloneHold
+	return r.hold
 }
 
+// AnswerTime returns how long the answer to a read may take, not counting the hold, before the read is given up.
+func (r *Reader) AnswerTime() time.Duration { return r.answerTime }
+
 // reliedUpon reports whether other nodes may rely on this one.
 func (r *Reader) reliedUpon() bool {
 	return len(r.candidates) > 1 && slices.Contains(r.candidates, r.self)
 }
 
-// HeldTooLong reports whether the read that was sent last may be held for longer than suits, since others rely on this node by now.
-func (r *Reader) HeldTooLong() bool { return r.sentHold > r.hold && r.reliedUpon() }
-
 // Sent records that a read was sent, which the log service may hold for the given time.
 func (r *Reader) Sent(now time.Time, hold time.Duration) { r.sentAt, r.sentHold = now, hold }
 
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -240,18 +240,20 @@
 	return version
 }
 
-func TestReadIsNotHeldForLongOnceOthersRelyOnTheNode(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1_000_000, 0)
-	r := rollout.NewReader(now, "a", applyBound, rand.New(rand.NewPCG(1, 1)))
-	r.SetCandidates([]string{"a"})
-	hold := r.Hold(now)
-	r.Sent(now, hold)
-	is.True(hold > applyBound) // nobody relies on it
-	is.True(!r.HeldTooLong())
-	r.SetCandidates([]string{"a", "b"})
-	is.True(r.HeldTooLong())
-	is.True(r.Hold(now) < applyBound)
+// TestNoReadIsAwaitedForLong checks that a read whose answer never comes is given up within the time to apply a version, whoever relies on the node.
+func TestNoReadIsAwaitedForLong(t *testing.T) {
+	for _, candidates := range [][]string{nil, {"a"}, {"a", "b"}, {"b", "a"}, {"b", "c"}} {
+		is := is.New(t)
+		now := time.Unix(1_000_000, 0)
+		r := rollout.NewReader(now, "a", applyBound, rand.New(rand.NewPCG(1, 1)))
+		r.SetCandidates(candidates)
+		for range 20 {
+			is.True(r.Hold(now)+r.AnswerTime() < applyBound)
+			r.Sent(now, r.Hold(now))
+			now = now.Add(r.Hold(now))
+			r.Answered(now, false)
+		}
+	}
 }
 
 func TestLateAnswerConfirmsNoMoreThanItTells(t *testing.T) {
