Soak: connections that go silent for good, a store that never answers, long storms; versions in 2 s

New kinds: silent-conns (open connections between two ends, or of all nodes to the store, lose all that is sent on them, while new ones work), store-silent (calls, held reads included, are never answered) and storm (versions each 80 to 400 ms). The bound on a version is the 2 s that the nodes are told (it was 3).

--- a/jasminelab/fakelog/log.go
+++ b/jasminelab/fakelog/log.go
@@ -24,6 +24,7 @@
 // Faults are the faults that the log injects.
 type Faults struct {
 	Down              bool          `json:"down"`      // all calls fail
+	Silent            bool          `json:"silent"`    // calls, and the reads that are held, are never answered; also not after the fault has ended
 	RefusedAddrs      []string      `json:"refuse"`    // IP addresses of clients whose calls fail
 	Delay             time.Duration `json:"slow"`      // delay of every call
 	LostResponseShare float64       `json:"loseshare"` // share of appends that take effect but whose response is lost
@@ -194,6 +195,10 @@
 		case <-time.After(f.Delay):
 		}
 	}
+	if f.Silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if f.Down {
 		return errUnavailable
 	}
@@ -326,7 +331,7 @@
 		case <-ctx.Done():
 			return p, true, ctx.Err()
 		case <-timer.C:
-			return p, true, nil
+			return p, true, l.injectFaults(ctx, client)
 		case <-appended:
 		}
 		if err := l.injectFaults(ctx, client); err != nil {
--- a/jasminelab/link/link.go
+++ b/jasminelab/link/link.go
@@ -42,12 +42,23 @@
 	siteByAddress    map[string]string           // name of the site at each address
 	blocked          map[[2]string]bool          // by source and destination: sites, data centres or regions
 	extraDelay       map[[2]string]time.Duration // added to the configured delay; keys as in blocked
-	conns            map[net.Conn][2]Site        // sites at both ends of each relayed connection
+	conns            map[net.Conn]*relayedConn   // by each of its two parts
 	limiters         map[string]*rate.Limiter    // bandwidth limiters, by FROM>TO of two regions
 	interRegionBytes atomic.Int64
 	intraRegionBytes atomic.Int64
 }
 
+// relayedConn is a connection between two sites.
+type relayedConn struct {
+	from, to Site
+	silent   bool
+}
+
+// between reports whether the connection is between two nodes, data centres or regions, in either direction.
+func (r *relayedConn) between(a, b string) bool {
+	return r.from.matches(a) && r.to.matches(b) || r.from.matches(b) && r.to.matches(a)
+}
+
 // Listen starts a link on a loopback port.
 func Listen(cfg Config) (*Link, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -57,7 +68,7 @@
 	l := &Link{
 		cfg: cfg, ln: ln,
 		sites: make(map[string]Site), siteByAddress: make(map[string]string),
-		blocked: make(map[[2]string]bool), extraDelay: make(map[[2]string]time.Duration), conns: make(map[net.Conn][2]Site),
+		blocked: make(map[[2]string]bool), extraDelay: make(map[[2]string]time.Duration), conns: make(map[net.Conn]*relayedConn),
 		limiters: make(map[string]*rate.Limiter),
 	}
 	go l.accept()
@@ -99,8 +110,8 @@
 func (l *Link) ResetConnections(a, b string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for c, ends := range l.conns {
-		if ends[0].matches(a) && ends[1].matches(b) || ends[0].matches(b) && ends[1].matches(a) {
+	for c, r := range l.conns {
+		if r.between(a, b) {
 			if tcp, ok := c.(*net.TCPConn); ok {
 				_ = tcp.SetLinger(0)
 			}
@@ -109,6 +120,24 @@
 	}
 }
 
+// Silence makes the connections between two nodes, data centres or regions that are open now silent for good: they stay open and accept data,
+// but nothing arrives any more. New connections work.
+func (l *Link) Silence(a, b string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.conns {
+		r.silent = r.silent || r.between(a, b)
+	}
+}
+
+// isSilent reports whether nothing arrives on the connection any more.
+func (l *Link) isSilent(c net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.conns[c]
+	return r != nil && r.silent
+}
+
 // matches reports whether the site is that of the named node, or in the named data centre or region.
 func (s Site) matches(name string) bool {
 	return s.Name == name || s.DataCentre == name || s.Region == name
@@ -177,11 +206,12 @@
 	<-done
 }
 
-// track records both connections of a relay for ResetConnections.
+// track records both connections of a relay for ResetConnections and Silence.
 func (l *Link) track(from, to Site, c, targetConn net.Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.conns[c], l.conns[targetConn] = [2]Site{from, to}, [2]Site{from, to}
+	r := &relayedConn{from: from, to: to}
+	l.conns[c], l.conns[targetConn] = r, r
 }
 
 func (l *Link) untrack(c, targetConn net.Conn) {
@@ -255,6 +285,9 @@
 		for l.isBlocked(from, to) {
 			time.Sleep(blockedPollInterval)
 		}
+		if l.isSilent(destination) {
+			continue
+		}
 		if bandwidth != nil {
 			_ = bandwidth.WaitN(context.Background(), len(chunk.data))
 			l.interRegionBytes.Add(int64(len(chunk.data)))
--- a/jasminelab/soak/injector.go
+++ b/jasminelab/soak/injector.go
@@ -22,6 +22,7 @@
 	extraLinkDelay    = 300 * time.Millisecond // delay that a slow-links step adds in one direction
 	lostResponseShare = 0.5                    // share of appends whose response is lost
 	maxVersionGap     = 400 * time.Millisecond // upper limit of the time between two versions that one step publishes
+	minStormGap       = 80 * time.Millisecond  // shortest interval between the versions of a storm
 	maxVersions       = 4                      // maximum number of versions that one step publishes
 	clockLag          = 30 * time.Second       // how far the clock of some replacement servers is behind
 	storeName         = fleet.StoreSite        // name of the store in the fault tracker and on the simulated network
@@ -72,7 +73,9 @@
 		inj.killAll(ctx, s)
 	case cutOneWay, silence, slowLinks, resetLinks:
 		inj.injectLinkFault(ctx, s)
-	case storeDown, storeSlow, storeLoses:
+	case silentConns:
+		inj.silenceConnections(s)
+	case storeDown, storeSilent, storeSlow, storeLoses:
 		inj.injectStoreFault(ctx, s)
 	case storeCut:
 		inj.cutStoreLink(ctx, s)
@@ -80,6 +83,8 @@
 		inj.fleet.Log.TrimAll(fleet.OperatorTopic)
 	case configure:
 		inj.publishVersions(ctx, s)
+	case storm:
+		inj.publishStorm(ctx, s)
 	case drainServer, crashServer, sickServer:
 		inj.injectServerFault(ctx, s)
 	case badReload:
@@ -194,6 +199,21 @@
 	sleep(ctx, s.Duration)
 }
 
+// silenceConnections makes open connections go silent for good: every other time those of all nodes to the store, else those between two ends.
+func (inj *injector) silenceConnections(s Step) {
+	l := inj.fleet.Link
+	if s.Variant%2 == 0 {
+		defer inj.faultTracker.begin(inj.nodeNames...)()
+		for _, name := range inj.nodeNames {
+			l.Silence(name, storeName)
+		}
+		return
+	}
+	from, to, affectedNodes := inj.linkEnds(s)
+	defer inj.faultTracker.begin(affectedNodes...)()
+	l.Silence(from, to)
+}
+
 // injectStoreFault injects a fault into the store for the duration of the step. The first of several overlapping store faults
 // to end clears them all.
 func (inj *injector) injectStoreFault(ctx context.Context, s Step) {
@@ -204,6 +224,8 @@
 			f.Delay = storeDelay
 		case storeLoses:
 			f.LostResponseShare, f.LostAppendDelay = lostResponseShare, s.Duration/2
+		case storeSilent:
+			f.Silent = true
 		default:
 			f.Down = true
 		}
@@ -238,6 +260,17 @@
 	}
 }
 
+// publishStorm publishes versions at one interval for the duration of the step.
+func (inj *injector) publishStorm(ctx context.Context, s Step) {
+	interval := minStormGap + time.Duration(s.Variant%5)*minStormGap
+	for end := time.Now().Add(s.Duration); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, interval) {
+		if err := inj.prober.publish(inj.fleet); err != nil {
+			inj.logf("publish version: %v", err)
+			return
+		}
+	}
+}
+
 func (inj *injector) injectServerFault(ctx context.Context, s Step) {
 	n, release := inj.claim(inj.nodeNames[s.TargetIndex])
 	if n == nil {
--- a/jasminelab/soak/plan.go
+++ b/jasminelab/soak/plan.go
@@ -18,13 +18,16 @@
 	cutOneWay   Kind = "cut-one-way"  // traffic between two nodes or data centres is held back in one direction; connections stay open
 	silence     Kind = "silence"      // like cut-one-way, but in both directions
 	resetLinks  Kind = "reset-links"  // TCP connections between two nodes or data centres are reset
+	silentConns Kind = "silent-conns" // the open connections between two nodes or data centres, or of all nodes to the store, go silent for good; new ones work
 	slowLinks   Kind = "slow-links"   // traffic between two nodes or data centres is delayed
 	storeDown   Kind = "store-down"   // all calls to the store fail
+	storeSilent Kind = "store-silent" // no call to the store is answered, also not after the fault
 	storeSlow   Kind = "store-slow"   // all calls to the store are delayed
 	storeLoses  Kind = "store-loses"  // responses to some appends are lost, and these appends take effect late
 	storeCut    Kind = "store-cut"    // one node can't reach the store
 	storeTrims  Kind = "store-trims"  // the records of the operator's topic are deleted, except for the newest value of each key
 	configure   Kind = "configure"    // configuration versions are published in quick succession
+	storm       Kind = "storm"        // configuration versions are published at short intervals for the whole duration
 	drainServer Kind = "drain-server" // a server drains and deregisters, then a new one starts beside the node
 	crashServer Kind = "crash-server" // a server crashes, then a new one, whose clock may be behind, starts beside the node
 	sickServer  Kind = "sick-server"  // a server shows a gray failure
@@ -32,8 +35,8 @@
 )
 
 var allKinds = []Kind{
-	stopNode, killNode, pauseNode, killAll, cutOneWay, silence, resetLinks, slowLinks, storeDown, storeSlow,
-	storeLoses, storeCut, storeTrims, configure, drainServer, crashServer, sickServer, badReload,
+	stopNode, killNode, pauseNode, killAll, cutOneWay, silence, resetLinks, silentConns, slowLinks, storeDown, storeSilent, storeSlow,
+	storeLoses, storeCut, storeTrims, configure, storm, drainServer, crashServer, sickServer, badReload,
 }
 
 // Step is one fault or operation of a run.
--- a/jasminelab/soak/prober.go
+++ b/jasminelab/soak/prober.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	maxApplyDelay       = 3 * time.Second        // maximum time from the publication of a version until every node has it in force
+	maxApplyDelay       = 2 * time.Second        // maximum time from the publication of a version until every node has it in force
 	storeFaultAllowance = 5 * time.Second        // added to maxApplyDelay if the store had a fault
 	rollbackTolerance   = 250 * time.Millisecond // time after a process has shown a version for which it may still show an older one
 	probeInterval       = 60 * time.Millisecond  // time between probes
