Connections between nodes that went silent are dropped

What callers would see: 503 at each node for the upstreams of others, and no news of any kind between nodes, once connections between them have gone silent while whoever stands between still acknowledges what is sent.

Cause: control calls time out and are repeated on the same HTTP/2 connection, which stays open for ever; after three seconds all nodes have declared each other dead. A connection that only requests use was replaced after the first one on it had got no answer: one lost order for each pair of nodes.

Evidence: TestNodesServeThroughEachOtherThoughOpenConnectionsWentSilent: 503 with one other node, 502 with seven.

Change: a control call that isn't answered in time drops the connection, so that the next call opens one; requests that run on it go on, none is cut. The drop by the health query goes through the same interceptor. A connection without use is closed after 2.5 s in place of 60 s, so that one which went silent in the meantime isn't there when it is needed.

--- a/node/serve.go
+++ b/node/serve.go
@@ -186,7 +186,6 @@
 	state.mu.Lock()
 	defer state.mu.Unlock()
 	if err != nil || parseErr != nil {
-		n.client.Reset(member.Address)
 		state.balancer.MarkUnreachable(time.Now(), choice.ID)
 		return errors.Errorf("node %s does not respond", choice.Node)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -21,8 +21,9 @@
 // Timing of connections between nodes.
 const (
 	dialTimeout = 250 * time.Millisecond
-	idleTimeout = 60 * time.Second
-	ackTimeout  = 600 * time.Millisecond // time without acknowledgement of sent data after which a connection is closed
+	idleTimeout = 2500 * time.Millisecond // short, since a connection may go silent without a sign while nobody uses it
+	forgetTime  = 2 * time.Minute         // time without a call after which a client forgets a node
+	ackTimeout  = 600 * time.Millisecond  // time without acknowledgement of sent data after which a connection is closed
 )
 
 // Limits in bytes of what a client keeps in memory of the responses of a node, which may be faulty.
@@ -71,13 +72,40 @@
 		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxUnreadBytes, MaxReceiveBufferPerConnection: maxUnreadBytesOfNode},
 	}
 	t.Protocols.SetUnencryptedHTTP2(true)
+	nc := &nodeConn{transport: t}
 	newRPC := func(maxBytes int) peerv1connect.PeerClient {
-		return peerv1connect.NewPeerClient(&http.Client{Transport: t}, "http://"+address, connect.WithReadMaxBytes(maxBytes))
+		return peerv1connect.NewPeerClient(&http.Client{Transport: t}, "http://"+address,
+			connect.WithReadMaxBytes(maxBytes), connect.WithInterceptors(c.dropAfterTimeout(address, nc)))
+	}
+	nc.rpc, nc.stateRPC = newRPC(maxMessageBytes), newRPC(maxStateBytes)
+	return nc
+}
+
+// dropAfterTimeout returns an interceptor that drops the connection after a call which wasn't answered in time, so that the next call opens
+// a new one: nothing but time tells that a connection has gone silent. Requests that are running on it go on.
+func (c *Client) dropAfterTimeout(address string, nc *nodeConn) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			resp, err := next(ctx, req)
+			if err != nil && connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+				c.drop(address, nc)
+			}
+			return resp, err
+		}
 	}
-	return &nodeConn{transport: t, rpc: newRPC(maxMessageBytes), stateRPC: newRPC(maxStateBytes)}
 }
 
-// conn returns the connection to the node at the address. When it adds one, it drops those that were not used for twice the idleTimeout.
+// drop drops a connection unless another one has replaced it already.
+func (c *Client) drop(address string, nc *nodeConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[address] == nc {
+		nc.transport.CloseIdleConnections()
+		delete(c.conns, address)
+	}
+}
+
+// conn returns the connection to the node at the address. When it adds one, it drops those that were not used for forgetTime.
 func (c *Client) conn(address string) *nodeConn {
 	now := time.Now()
 	c.mu.Lock()
@@ -94,23 +122,13 @@
 
 func (c *Client) dropIdle(now time.Time) {
 	for address, nc := range c.conns {
-		if now.Sub(nc.lastUsed) > 2*idleTimeout {
+		if now.Sub(nc.lastUsed) > forgetTime {
 			nc.transport.CloseIdleConnections()
 			delete(c.conns, address)
 		}
 	}
 }
 
-// Reset drops the connection to the address, which no longer responds, so that the next call opens a new one.
-func (c *Client) Reset(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if nc := c.conns[address]; nc != nil {
-		nc.transport.CloseIdleConnections()
-		delete(c.conns, address)
-	}
-}
-
 // Close closes all idle connections.
 func (c *Client) Close() {
 	c.mu.Lock()
