A connection to an upstream isn't used after 2.5 s without use

What callers would see: 504 after their whole time for requests that take an idle connection which has gone silent, for up to 5 s after that.

Evidence: TestUpstreamServesThoughIdleConnectionsWentSilent: 504, 3 s after all connections to the upstream went silent. Change: idleTimeout 2.5 s in place of 5 s, within the 3 s after which a reset of all connections must be over.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -19,17 +19,17 @@
 
 // Parameters of connections to an upstream.
 const (
-	dialTimeout              = 500 * time.Millisecond // time to connect to an upstream on the same instance
-	idleTimeout              = 5 * time.Second        // idle time after which a connection is not reused
-	nonIdempotentIdleTimeout = 500 * time.Millisecond // idle time after which a connection is not reused for a non-idempotent request
-	idleMargin               = time.Second            // subtracted from the idle timeout in the upstream's Keep-Alive header
-	readBufferSize           = 4 << 10                // size in bytes of a connection's read buffer
-	maxBufferedBodyBytes     = 64 << 10               // maximum request body sent in one write; others are sent while the response is awaited
-	maxInformational         = 8                      // informational (1xx) responses accepted before the final one
-	maxHeadBytes             = 64 << 10               // maximum size of the heads of a response, informational ones included
-	maxIdleConns             = 32                     // maximum number of idle connections to one upstream
-	deadlineSlack            = 50 * time.Millisecond  // added to the deadline of reads and writes, so that the context expires first
-	keepAliveTimeoutPrefix   = "timeout="             // precedes the idle timeout in a Keep-Alive header
+	dialTimeout              = 500 * time.Millisecond  // time to connect to an upstream on the same instance
+	idleTimeout              = 2500 * time.Millisecond // idle time after which a connection is not reused; it may go silent without a sign
+	nonIdempotentIdleTimeout = 500 * time.Millisecond  // idle time after which a connection is not reused for a non-idempotent request
+	idleMargin               = time.Second             // subtracted from the idle timeout in the upstream's Keep-Alive header
+	readBufferSize           = 4 << 10                 // size in bytes of a connection's read buffer
+	maxBufferedBodyBytes     = 64 << 10                // maximum request body sent in one write; others are sent while the response is awaited
+	maxInformational         = 8                       // informational (1xx) responses accepted before the final one
+	maxHeadBytes             = 64 << 10                // maximum size of the heads of a response, informational ones included
+	maxIdleConns             = 32                      // maximum number of idle connections to one upstream
+	deadlineSlack            = 50 * time.Millisecond   // added to the deadline of reads and writes, so that the context expires first
+	keepAliveTimeoutPrefix   = "timeout="              // precedes the idle timeout in a Keep-Alive header
 )
 
 // dialError reports that no connection was established, so that nothing was sent.
