The lab's nodes call the store through the product's own transport

Options.LogTransport replaced the whole HTTP transport, so the soak never met the limits of the one that nodes have: when idle connections to the store are closed, and how large a head may be. Options.LogDial replaces only how connections are opened. One type for such a function, tcp.DialFunc.

--- a/jasminelab/main.go
+++ b/jasminelab/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -60,7 +59,7 @@
 			if addr := cmd.String("link"); addr != "" {
 				opt.Dial = link.Dialer(addr, cfg.Name)
 				if cmd.Bool("store-link") {
-					opt.LogTransport = &http.Transport{DialContext: opt.Dial}
+					opt.LogDial = opt.Dial
 				}
 			}
 			n, err := node.New(cfg, opt)
--- a/node/node.go
+++ b/node/node.go
@@ -27,10 +27,10 @@
 
 // Options holds the dependencies of a node that are not in its settings; the zero value works.
 type Options struct {
-	Dial         peer.Dialer       // connects to other nodes; nil to connect over TCP
-	Log          platform.Log      // the log service; nil for a client of the service named in the settings
-	LogTransport http.RoundTripper // HTTP transport for calls to the log service; nil for the default
-	Logger       log.Logger        // writes the log lines of the node; nil to discard them
+	Dial    tcp.DialFunc // connects to other nodes; nil to connect over TCP
+	Log     platform.Log // the log service; nil for a client of the service named in the settings
+	LogDial tcp.DialFunc // connects to the log service; nil to connect over TCP
+	Logger  log.Logger   // writes the log lines of the node; nil to discard them
 }
 
 // Node is one process of the fleet.
@@ -92,10 +92,10 @@
 		n.logger = log.NewNopLogger()
 	}
 	if n.logService == nil {
-		n.logService = platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), opt.LogTransport)
+		n.logService = platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), opt.LogDial)
 	}
 	n.upstreamService.Store(&cfg.Service)
-	n.protocols = newProtocols(cfg, opt.LogTransport)
+	n.protocols = newProtocols(cfg, opt.LogDial)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
--- a/node/protocols.go
+++ b/node/protocols.go
@@ -1,11 +1,10 @@
 package node
 
 import (
-	"net/http"
-
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/tcp"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/labstack/echo/v4"
 )
@@ -25,11 +24,11 @@
 	directory    *platform.Directory
 }
 
-func newProtocols(cfg Settings, transport http.RoundTripper) protocols {
+func newProtocols(cfg Settings, logDial tcp.DialFunc) protocols {
 	if cfg.Platform.Contract != platformProtocols {
 		return protocols{caller: caller.DefaultDialect(), upstream: upstream.DefaultDialect()}
 	}
-	logClient := platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), transport)
+	logClient := platform.NewClient(cfg.Platform.Log, cfg.Platform.Timeout.Std(), logDial)
 	policy := platform.Policy{Floor: cfg.Retry.Floor, Retries: cfg.Retry.Ratio, Reserve: cfg.Retry.Reserve}
 	return protocols{
 		caller:       platform.CallerDialect(),
--- a/peer/client.go
+++ b/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -35,12 +34,9 @@
 	maxStateBytes        = 16 << 20  // what Fetch and Events return
 )
 
-// Dialer opens a connection to the address of a node.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Client calls other nodes.
 type Client struct {
-	dial  Dialer
+	dial  tcp.DialFunc
 	mu    sync.Mutex
 	conns map[string]*nodeConn
 }
@@ -54,7 +50,7 @@
 }
 
 // NewClient returns a client that connects with dial, or over TCP if dial is nil.
-func NewClient(dial Dialer) *Client {
+func NewClient(dial tcp.DialFunc) *Client {
 	if dial == nil {
 		dial = tcp.Dialer{Timeout: dialTimeout, AckTimeout: ackTimeout}.Net().DialContext
 	}
--- a/tcp/dialer.go
+++ b/tcp/dialer.go
@@ -1,6 +1,7 @@
 package tcp
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -8,6 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Dialer opens TCP connections. The zero value notices no lost peer.
 type Dialer struct {
 	Timeout    time.Duration       // to connect; 0 for none
