--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,11 @@
 	cd jasminectl && go test -race ./...
 	cd jasminelab && go test -race ./...
 
-# Runs two short fault-injection soaks; to run more seeds, use: jasminelab soak --seed 0 --count 20.
+# Runs two short fault-injection soaks, and those that once failed; to run more seeds, use: jasminelab soak --seed 0 --count 20.
 soak:
 	go run ./jasminelab soak --seed 1 --count 2 --span 8s
+	go run ./jasminelab soak --seed 9101 --span 15s
+	go run ./jasminelab soak --seed 9104 --span 15s
 
 # Applies each patch with a planted fault to a copy of the last commit and checks that the soak detects the fault.
 planted:
