The limit on heads is the one of the operator's configuration

Cause: max_header_bytes was not decoded; the servers' own limit was the only one. Change: it is part of the policy, as the limit on bodies is, and is checked where the request enters; the answer says not-run and 431. The servers read heads of up to 128 KiB, so that a node can forward what another one has taken.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -45,6 +45,9 @@
 // ratio of requests.
 func (p Policy) RetryReserve() float64 { return p.spec.Reserve }
 
+// MaxHeadBytes returns the maximum size in bytes of the head of a request, or 0 for that of the node's settings.
+func (p Policy) MaxHeadBytes() int64 { return int64(p.spec.Head) }
+
 // MaxBodyBytes returns the maximum size in bytes of the body of a request, or 0 for that of the node's settings.
 func (p Policy) MaxBodyBytes() int64 { return int64(p.spec.Body) }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -28,29 +28,39 @@
 	RecordEnd(r *Request, status int, o outcome.Outcome, err error, took time.Duration)
 }
 
-// Mount adds the handler of requests from callers to e. The bodies of requests are limited to maxBody bytes, unless the bundle in force sets
-// another limit.
-func Mount(e *echo.Echo, d Dialect, f Fleet, maxBody int64) {
+// Limits are the maximum sizes of a request in bytes.
+type Limits struct{ Head, Body int64 }
+
+// inForce returns the limits with those that the policy sets in their place.
+func (l Limits) inForce(p bundle.Policy) Limits {
+	return Limits{Head: cmp.Or(p.MaxHeadBytes(), l.Head), Body: cmp.Or(p.MaxBodyBytes(), l.Body)}
+}
+
+// Mount adds the handler of requests from callers to e. The limits hold unless the bundle in force sets others.
+func Mount(e *echo.Echo, d Dialect, f Fleet, l Limits) {
 	e.RouteNotFound("/*", func(c echo.Context) error {
-		d.handle(f, c.Response().Writer, c.Request(), maxBody)
+		d.handle(f, c.Response().Writer, c.Request(), l)
 		return nil
 	})
 }
 
-func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, maxBody int64) {
+func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, l Limits) {
 	start := time.Now()
 	bundleInForce := f.Bundle()
-	maxBody = cmp.Or(bundleInForce.Policy().MaxBodyBytes(), maxBody)
+	l = l.inForce(bundleInForce.Policy())
 	if req.Body != nil {
 		req = req.WithContext(req.Context()) // a copy: the server waits with the close of a connection only if it finds its own body in the request
-		req.Body = http.MaxBytesReader(w, req.Body, maxBody)
+		req.Body = http.MaxBytesReader(w, req.Body, l.Body)
 	}
 	r, err := d.parse(bundleInForce, req, start)
+	if err == nil {
+		err = checkHead(req, l.Head)
+	}
 	if err != nil {
 		d.sendProblem(w, "", err)
 		return
 	}
-	resp, err := serve(f, r, maxBody)
+	resp, err := serve(f, r, l.Body)
 	if err != nil {
 		status := d.sendProblem(w, r.ID, err)
 		f.RecordEnd(r, status, errorOutcome(err), err, time.Since(start))
@@ -65,6 +75,20 @@
 	f.RecordEnd(r, resp.Status, outcome.Ran, nil, time.Since(start))
 }
 
+// checkHead returns an error if the head of the request, as HTTP/1.1 writes it, has more than limit bytes.
+func checkHead(req *http.Request, limit int64) error {
+	size := len(req.Method) + len(" ") + len(req.RequestURI) + len(" HTTP/1.1\r\n") + len("Host: ") + len(req.Host) + len("\r\n\r\n")
+	for name, values := range req.Header {
+		for _, v := range values {
+			size += len(name) + len(": ") + len(v) + len("\r\n")
+		}
+	}
+	if int64(size) > limit {
+		return outcome.NewError(outcome.NotRun, outcome.CodeHeadTooLarge, errors.Errorf("head has %d bytes, limit is %d", size, limit))
+	}
+	return nil
+}
+
 // sendWithin sends the response. A caller that doesn't read it is given up sendGrace after the deadline of its request, or after now if
 // the response is late.
 func sendWithin(w http.ResponseWriter, resp *upstream.Response, deadline time.Time) error {
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -68,7 +68,7 @@
 	const bodyBytes, requests = 1 << 20, 100
 	is := is.New(t)
 	e := echo.New()
-	caller.Mount(e, caller.DefaultDialect(), refusingFleet{parseBundle(t)}, 16<<20)
+	caller.Mount(e, caller.DefaultDialect(), refusingFleet{parseBundle(t)}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Connection", "close")
 		e.ServeHTTP(w, req)
@@ -125,7 +125,7 @@
 			is := is.New(t)
 			f := endlessFleet{bundle: parseBundle(t), ended: make(chan error, 1)}
 			e := echo.New()
-			caller.Mount(e, caller.DefaultDialect(), f, 16<<20)
+			caller.Mount(e, caller.DefaultDialect(), f, caller.Limits{Head: 32 << 10, Body: 16 << 20})
 			srv := httptest.NewUnstartedServer(e)
 			srv.Config.Protocols = new(http.Protocols)
 			srv.Config.Protocols.SetHTTP1(true)
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -28,6 +28,7 @@
 	outcome.CodeNoRoute:          http.StatusNotFound,
 	outcome.CodeBadRequest:       http.StatusBadRequest,
 	outcome.CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	outcome.CodeHeadTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	outcome.CodeCallerLimit:      http.StatusTooManyRequests,
 	outcome.CodeExpired:          http.StatusGatewayTimeout,
 	outcome.CodeTimeout:          http.StatusGatewayTimeout,
--- a/caller/problem_test.go
+++ b/caller/problem_test.go
@@ -12,7 +12,7 @@
 // TestUnknownOutcomeDoesNotPromiseNotRun checks that an unknown outcome never gets a status that tells callers the request was not run.
 func TestUnknownOutcomeDoesNotPromiseNotRun(t *testing.T) {
 	codes := []outcome.Code{
-		outcome.CodeNoRoute, outcome.CodeNoBundle, outcome.CodeBadRequest, outcome.CodeTooLarge, outcome.CodeCallerLimit,
+		outcome.CodeNoRoute, outcome.CodeNoBundle, outcome.CodeBadRequest, outcome.CodeTooLarge, outcome.CodeHeadTooLarge, outcome.CodeCallerLimit,
 		outcome.CodeOverload, outcome.CodeExpired, outcome.CodeDraining, outcome.CodeNoUpstream, outcome.CodeShed,
 		outcome.CodeSuspect, outcome.CodeUpstreamFailed, outcome.CodeTimeout, outcome.CodeTruncated, outcome.CodeResponseMismatch,
 		outcome.CodePathLost, outcome.CodeKeyOwner, outcome.CodeKeyMemory, outcome.CodeCanceled,
--- a/node/node.go
+++ b/node/node.go
@@ -204,7 +204,7 @@
 
 func (n *Node) newServers() servers {
 	callerAPI := echo.New()
-	caller.Mount(callerAPI, n.protocols.caller, n, int64(n.cfg.Limits.Body))
+	caller.Mount(callerAPI, n.protocols.caller, n, caller.Limits{Head: int64(n.cfg.Limits.Header), Body: int64(n.cfg.Limits.Body)})
 	upstreamAPI := echo.New()
 	n.mountUpstreams(upstreamAPI)
 	readinessAPI := echo.New()
--- a/node/run.go
+++ b/node/run.go
@@ -24,12 +24,16 @@
 	conditionPollInterval  = 10 * time.Millisecond // interval between checks in waitUntil
 )
 
+// maxHeadBytes is the maximum size of the head of a request that is read at all. The limit in force is mostly lower, and refuses with a reason;
+// what one node forwards to another has some headers more.
+const maxHeadBytes = 128 << 10
+
 func (n *Node) newServer(handler http.Handler, streaming bool) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: n.cfg.Limits.HeaderTimeout.Std(),
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(n.cfg.Limits.Header),
+		MaxHeaderBytes:    max(maxHeadBytes, int(n.cfg.Limits.Header)),
 		Protocols:         new(http.Protocols),
 		ErrorLog:          nil,
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -27,6 +27,7 @@
 	CodeNoBundle         Code = "no-bundle"
 	CodeBadRequest       Code = "bad-request"
 	CodeTooLarge         Code = "too-large"
+	CodeHeadTooLarge     Code = "head-too-large"
 	CodeCallerLimit      Code = "caller-limit"
 	CodeOverload         Code = "overload"
 	CodeExpired          Code = "expired"
