--- a/node/versions.go
+++ b/node/versions.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
-	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/platform"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/pkg/errors"
@@ -101,7 +99,6 @@
 	n.recordRead(versionRead{from: *next, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
 	if errors.Is(err, platform.ErrGap) {
 		n.recordReadFailed()
-		_ = level.Info(n.logger).Log("msg", "versions missed", "after", *next, "err", err)
 		n.sleep(ctx, batchDelay/2+rand.N(batchDelay/2))
 		return false
 	}
@@ -116,38 +113,6 @@
 	return true
 }
 
-// versionRead is a read of the published versions that has ended.
-type versionRead struct {
-	from     platform.Offset // 0 for a read of the newest version
-	hold     time.Duration   // how long the log service was allowed to hold it
-	sentAt   time.Time
-	versions int // number of versions that it returned, invalid ones included
-	err      error
-}
-
-// result returns the value of the metric's label for the read.
-func (r versionRead) result() string {
-	switch {
-	case r.err != nil:
-		return "failed"
-	case r.versions > 0:
-		return "news"
-	}
-	return "none"
-}
-
-// recordRead counts a read, and logs it unless it returned nothing.
-func (n *Node) recordRead(r versionRead) {
-	n.metrics.versionReads.WithLabelValues(r.result()).Inc()
-	took := time.Since(r.sentAt)
-	switch {
-	case r.err != nil:
-		_ = level.Warn(n.logger).Log("msg", "read failed", "from", r.from, "hold", r.hold, "took", took, "err", r.err)
-	case r.versions > 0:
-		_ = level.Info(n.logger).Log("msg", "read", "from", r.from, "hold", r.hold, "took", took, "versions", r.versions)
-	}
-}
-
 // applyVersions applies an answer of the log service and records that it was applied.
 func (n *Node) applyVersions(versions []platform.Version, rejected []error) {
 	for _, e := range rejected {
@@ -177,52 +142,6 @@
 	n.versionReader.Failed()
 }
 
-// tickReader asks a reader of the data centre to confirm that it reads, if that is due.
-func (n *Node) tickReader(_ context.Context, now time.Time) {
-	n.mu.Lock()
-	n.versionReader.SetCandidates(n.members.Readers())
-	name, due := n.versionReader.Ask(now)
-	to, known := n.members.Member(name)
-	msg, timeout := n.members.Heartbeat(), n.versionReader.AskTimeout()
-	n.mu.Unlock()
-	switch {
-	case due && known:
-		n.spawn(func() { n.askReader(to, msg, timeout) })
-	case due:
-		n.mu.Lock()
-		n.versionReader.Unanswered(now)
-		n.mu.Unlock()
-	}
-}
-
-// askReader asks a node to confirm that it reads the published versions, and fetches a version that this node lacks.
-func (n *Node) askReader(to membership.Member, msg membership.Message, timeout time.Duration) {
-	sentAt := time.Now()
-	heartbeat := membership.OutgoingHeartbeat{Name: to.Name, Address: to.Address, Message: msg}
-	resp, err := n.exchange(heartbeat, timeout, true)
-	n.logReliance(to.Name, err == nil && resp.Confirmed)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	switch {
-	case err != nil:
-		n.versionReader.Unanswered(sentAt)
-	case n.behind(resp.Positions):
-		n.versionReader.Behind(sentAt)
-	default:
-		n.versionReader.Confirmed(sentAt, resp.Confirmed)
-	}
-}
-
-// logReliance logs that this node began or ceased to rely on another one to read the published versions.
-func (n *Node) logReliance(reader string, confirmed bool) {
-	if !confirmed {
-		reader = ""
-	}
-	if previous := n.reliesOn.Swap(&reader); previous == nil || *previous != reader {
-		_ = level.Info(n.logger).Log("msg", "versions read by", "reader", cmp.Or(reader, "self"), "version", n.bundleVersion.Load())
-	}
-}
-
 // callSucceeded records the result of a read that was sent at sentAt; after a failed one it waits and returns false.
 func (n *Node) callSucceeded(ctx context.Context, err error, sentAt time.Time, b *backoff) bool {
 	n.recordLogServiceResult(err)
