An upstream that stays suspect is tried on

A node that hears of that through membership takes its suspicion as 0.7, which decays towards 0.286, the long-run share of time in which an upstream is unhealthy; after 18 s it is below 0.3, the threshold for trials. Below the threshold the upstream is a candidate for all requests, at a cost that nearly always loses. Its gate meanwhile waits for a success to clear it.

Change: an upstream whose gate still reports it as suspect gets trials however old what the node knows of it is. Test: TestUpstreamThatStaysSuspectIsTriedOn; before, 0 of 2,000 requests were offered after 20 s, 166 after 1 s; now 166 after an hour, too.

--- a/routing/pick.go
+++ b/routing/pick.go
@@ -137,7 +137,7 @@
 	var candidates []*endpoint
 	for t := SameDataCentre; t < OtherRegion; t++ {
 		for _, e := range lb.ready[t] {
-			if e.inFlight == 0 && !now.Before(e.avoidUntil) && e.suspicion(now) > unhealthyThreshold {
+			if e.inFlight == 0 && !now.Before(e.avoidUntil) && e.awaitsTrial(now) {
 				candidates = append(candidates, e)
 			}
 		}
@@ -148,6 +148,12 @@
 	return candidates[rnd.IntN(len(candidates))]
 }
 
+// awaitsTrial reports whether the upstream is to get trial requests: by what the node knows it is unhealthy, or was when the node last heard of it
+// and its gate hasn't cleared it since. The gate needs a success to clear it, however old what the node knows is.
+func (e *endpoint) awaitsTrial(now time.Time) bool {
+	return e.suspicion(now) > unhealthyThreshold || e.Suspect && e.lastSuspicion > unhealthyThreshold
+}
+
 // cheapest compares a few upstreams of each tier, nearest first, and returns the one with the lowest cost, or nil if none can be used.
 // It also reports whether any upstream was skipped because it would refuse the request.
 func (lb *Balancer) cheapest(now time.Time, q *Query, threshold float64, rnd *rand.Rand) (best *endpoint, anyRefused bool) {
