A node offers its own upstream the next request when a trial is due

Cause: nodes don't know when the gates of others take the next trial, 0.8 s after the last one, so they offer at random; most offers come too early and are refused, and with ten suspects in a region none comes for 1.2 s after that in about one case of six, for each of them.

Change: the node beside the upstream knows. It offers the next request that may be a trial to its own upstream, as soon as its gate waits for one. Tests: TestDueTrialIsOfferedAtOnce, in routing.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -166,6 +166,7 @@
 		AllowOtherRegion:    d.req.match.Class.Spill() && d.otherRegionAttempts < maxOtherRegionAttempts && d.node.linkHasCapacity(),
 		RequireFreeCapacity: requireSpare,
 		Objective:           d.req.match.Class.Objective(),
+		DueTrialID:          d.node.dueTrial(now, d.state.name),
 	}
 	d.state.mu.Lock()
 	query.AllowTrial = d.state.retryBudget.Available(now) && d.maxSentAttempts() > 1 && d.req.body.Replayable()
--- a/node/gates.go
+++ b/node/gates.go
@@ -86,6 +86,17 @@
 	return cmp.Or(cmp.Compare(a.Incarnation, other.Incarnation), cmp.Compare(a.ID, other.ID)) > 0
 }
 
+// dueTrial returns the ID by which routing knows an upstream of the service beside this node whose gate waits for a trial request, or an
+// empty string if there is none.
+func (n *Node) dueTrial(now time.Time, service string) string {
+	for _, gate := range n.gates.all() {
+		if a := gate.Announcement(); a.Service == service && gate.AwaitsTrial(now) {
+			return n.cfg.Name + "/" + a.ID
+		}
+	}
+	return ""
+}
+
 func (s *gateSet) runningRequests() int {
 	total := 0
 	for _, gate := range s.all() {
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -77,6 +77,7 @@
 	ClassIndex          int
 	ExcludedIDs         []string      // IDs of upstreams that earlier attempts used
 	AllowTrial          bool          // the attempt may be a trial request to an unhealthy upstream
+	DueTrialID          string        // ID of an unhealthy upstream whose gate is known to wait for a trial request now; empty if there is none
 	Objective           time.Duration // target response time; 0 if there is none
 	AllowOtherRegion    bool          // upstreams in other regions may be used
 	RequireFreeCapacity bool          // only an upstream with free capacity may be used
@@ -129,7 +130,8 @@
 	return c
 }
 
-// pickTrial returns an unhealthy upstream for a small share of the idempotent requests, to detect its recovery.
+// pickTrial returns an unhealthy upstream for a small share of the idempotent requests, to detect its recovery. Nodes don't know when the gates of
+// others take the next trial, so they offer at random; one that is known to be due is offered the request at once.
 func (lb *Balancer) pickTrial(now time.Time, q *Query, rnd *rand.Rand) *endpoint {
 	if q.NonIdempotent || !q.AllowTrial || len(q.ExcludedIDs) > 0 {
 		return nil
@@ -142,6 +144,9 @@
 			}
 		}
 	}
+	if i := slices.IndexFunc(candidates, func(e *endpoint) bool { return e.ID == q.DueTrialID }); i >= 0 {
+		return candidates[i]
+	}
 	if len(candidates) == 0 || rnd.Float64() >= min(maxTrialShare, trialShare*float64(len(candidates))) {
 		return nil
 	}
--- a/routing/trial_test.go
+++ b/routing/trial_test.go
@@ -43,3 +43,35 @@
 		is.True(late > early*3/4)
 	}
 }
+
+// TestDueTrialIsOfferedAtOnce checks that an upstream which is known to wait for a trial gets the next request that may be one, and no other.
+func TestDueTrialIsOfferedAtOnce(t *testing.T) {
+	list := upstreams(5, sameDataCentre)
+	list[0].Suspect = true
+	due := list[0].ID
+	tests := []struct {
+		name      string
+		query     routing.Query
+		wantTrial bool
+	}{
+		{"safe to repeat", routing.Query{AllowTrial: true, DueTrialID: due}, true},
+		{"not to be repeated", routing.Query{NonIdempotent: true, AllowTrial: true, DueTrialID: due}, false},
+		{"a repeat", routing.Query{AllowTrial: true, DueTrialID: due, ExcludedIDs: []string{list[1].ID}}, false},
+		{"no retry left", routing.Query{DueTrialID: due}, false},
+		{"a healthy upstream", routing.Query{AllowTrial: false, DueTrialID: list[2].ID}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			lb := routing.NewBalancer("s", "me", 0.5)
+			lb.Update(epoch, list)
+			rnd := rand.New(rand.NewPCG(1, 1))
+			for range 50 {
+				choice, err := lb.Pick(epoch, tt.query, rnd)
+				is.NoErr(err)
+				is.Equal(choice.ID == due && choice.Trial, tt.wantTrial)
+				lb.Finish(epoch, choice, 0, routing.Observation{})
+			}
+		})
+	}
+}
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -331,6 +331,13 @@
 	return true
 }
 
+// AwaitsTrial reports whether the upstream is unhealthy and a trial request would be sent to it now.
+func (g *Gate) AwaitsTrial(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.announcement.State == Ready && g.suspicion(now) >= trialSuspicion && !now.Before(g.nextTrial)
+}
+
 // cancelQueued removes a canceled request from the queue. If it was admitted meanwhile, its slot is released.
 func (g *Gate) cancelQueued(id uint64, ch chan admission.Decision) error {
 	g.mu.Lock()
