A small response that can no longer be read is answered with a failure, not with a cut

Cause, from the node's log: "outcome=unknown status=200 err=stream response: context canceled" (or deadline exceeded). The head of a response from another node had arrived and was sent on; when the stop, or the deadline, ended the request before its body was read, nothing but a cut was left, though the body had a few bytes.

Change: a body whose length is known and small is read whole before the head is sent; if that fails, the caller gets 502 or 504. Test: TestResponseThatBreaksIsAnsweredWhileNothingIsSent; two of its four cases failed before, the two that need a cut still get one.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -61,6 +61,9 @@
 		return
 	}
 	resp, err := serve(f, r, l.Body)
+	if err == nil {
+		err = resp.ReadSmall()
+	}
 	if err != nil {
 		status := d.sendProblem(w, r.ID, err)
 		f.RecordEnd(r, status, errorOutcome(err), err, time.Since(start))
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strconv"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/jasminevane/jasminevane/bundle"
@@ -154,3 +155,59 @@
 		})
 	}
 }
+
+// brokenFleet serves each request with a response whose body ends with an error.
+type brokenFleet struct {
+	bundle *bundle.Bundle
+	length int64 // that the head names, or -1
+	sent   int   // bytes before the error
+}
+
+func (f brokenFleet) Bundle() *bundle.Bundle { return f.bundle }
+
+func (brokenFleet) Admit(*caller.Request) error { return nil }
+
+func (f brokenFleet) Serve(context.Context, *caller.Request) (*upstream.Response, error) {
+	body := io.MultiReader(bytes.NewReader(make([]byte, f.sent)), iotest.ErrReader(io.ErrUnexpectedEOF))
+	return &upstream.Response{Status: http.StatusOK, Header: make(http.Header), Length: f.length, Body: io.NopCloser(body)}, nil
+}
+
+func (brokenFleet) RecordEnd(*caller.Request, int, outcome.Outcome, error, time.Duration) {}
+
+// TestResponseThatBreaksIsAnsweredWhileNothingIsSent guards against connections being cut because the body of a small response could no longer
+// be read. Of a large response part may have been sent, so that only a cut tells that it isn't whole.
+func TestResponseThatBreaksIsAnsweredWhileNothingIsSent(t *testing.T) {
+	tests := []struct {
+		name   string
+		length int64
+		sent   int
+		whole  bool
+	}{
+		{"small, without a byte", 10, 0, true},
+		{"small, midway", 10, 5, true},
+		{"large, midway", 1 << 20, 100 << 10, false},
+		{"of unknown length, midway", -1, 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			e := echo.New()
+			caller.Mount(e, caller.DefaultDialect(), brokenFleet{parseBundle(t), tt.length, tt.sent}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
+			srv := httptest.NewServer(e)
+			defer srv.Close()
+			req, err := http.NewRequest(http.MethodPost, srv.URL, nil)
+			is.NoErr(err)
+			req.Host = "s.test"
+			resp, err := http.DefaultTransport.RoundTrip(req)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.NoErr(resp.Body.Close())
+			}
+			is.Equal(err == nil, tt.whole)
+			if tt.whole {
+				is.Equal(resp.StatusCode, http.StatusBadGateway)
+				is.Equal(resp.Header.Get(outcome.HeaderName), string(outcome.Unknown))
+			}
+		})
+	}
+}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -5,6 +5,9 @@
 	"context"
 	"io"
 	"sync"
+
+	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/pkg/errors"
 )
 
 // bufferedBody is the body of a response that was read into memory.
@@ -22,6 +25,24 @@
 // Content returns the body of a response that was read into memory; ok is false if the body must be streamed.
 func (r *Response) Content() (data []byte, ok bool) { return r.content, r.Body == nil }
 
+// ReadSmall reads the body into memory if it is known to be small, so that a failure to read it can still be answered. The error is an
+// *outcome.Error.
+func (r *Response) ReadSmall() error {
+	if r.Body == nil || r.Length < 0 || r.Length > maxBufferedResponseBytes {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxBufferedResponseBytes))
+	_ = r.Body.Close() // an error would say nothing more of a body that has been read
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return outcome.NewError(outcome.Unknown, outcome.CodeTimeout, err)
+	case err != nil:
+		return outcome.NewError(outcome.Unknown, outcome.CodeTruncated, err)
+	}
+	r.content, r.Body = data, nil // Length stays: the response to a HEAD request names one and has no body
+	return nil
+}
+
 // Reader returns the body of the response, in memory or streamed.
 func (r *Response) Reader() io.ReadCloser {
 	if r.Body == nil {
