--- a/routing/trial_test.go
+++ b/routing/trial_test.go
@@ -58,7 +58,7 @@
 		{"not to be repeated", routing.Query{NonIdempotent: true, AllowTrial: true, DueTrialID: due}, false},
 		{"a repeat", routing.Query{AllowTrial: true, DueTrialID: due, ExcludedIDs: []string{list[1].ID}}, false},
 		{"no retry left", routing.Query{DueTrialID: due}, false},
-		{"a healthy upstream", routing.Query{AllowTrial: false, DueTrialID: list[2].ID}, false},
+		{"a healthy upstream", routing.Query{AllowTrial: true, DueTrialID: list[2].ID}, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -69,9 +69,27 @@
 			for range 50 {
 				choice, err := lb.Pick(epoch, tt.query, rnd)
 				is.NoErr(err)
-				is.Equal(choice.ID == due && choice.Trial, tt.wantTrial)
+				is.Equal(choice.Trial && choice.ID == tt.query.DueTrialID, tt.wantTrial)
 				lb.Finish(epoch, choice, 0, routing.Observation{})
 			}
 		})
 	}
 }
+
+// TestUpstreamIsNotTriedOnceItIsKnownToBeWell checks that a report which says that an upstream is well ends its trials, though membership hasn't told yet
+// that its gate has cleared it.
+func TestUpstreamIsNotTriedOnceItIsKnownToBeWell(t *testing.T) {
+	is := is.New(t)
+	lb := routing.NewBalancer("s", "me", 0.5)
+	list := upstreams(5, sameDataCentre)
+	list[0].Suspect = true
+	lb.Update(epoch, list)
+	lb.RecordReport(epoch, list[0].ID, 0, routing.Observation{Reported: true, Load: admission.Load{Running: 1, Limit: 5}, Suspicion: 0.05})
+	rnd := rand.New(rand.NewPCG(1, 1))
+	for range 500 {
+		choice, err := lb.Pick(epoch, routing.Query{AllowTrial: true}, rnd)
+		is.NoErr(err)
+		is.True(!choice.Trial)
+		lb.Finish(epoch, choice, 0, routing.Observation{})
+	}
+}
