Test: a bundle is in force some time after its version is known

Traced: the test waited until the engine knew version 1 and compared with the bundle in force at that moment, which is installed just after the lock of the engine is released. The test now waits, within the same limit, for the bundle that the first node had in force, and then compares version and digest with it: before, any bundle would have done.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -365,10 +365,12 @@
 	nodeA, stopA := f.start("a")
 	f.publishTestBundle(nodeA)
 	f.waitFor("snapshots", func() bool { return f.platformLog.expire(rollout.Stream) && f.platformLog.expire("owner") })
+	published := f.status(nodeA).InForce
 	stopA()
-	nodeB, _ := f.start("b") // without peers, so that it can read only the log
-	f.waitFor("the bundle", func() bool { return f.status(nodeB).BundleVersion == 1 })
-	is.Equal(f.status(nodeB).InForce, f.status(nodeB).Digest)
+	nodeB, _ := f.start("b")                                                             // without peers, so that it can read only the log
+	f.waitFor("the bundle", func() bool { return f.status(nodeB).InForce == published }) // its version is known some time before it is in force
+	is.Equal(f.status(nodeB).BundleVersion, uint64(1))
+	is.Equal(f.status(nodeB).Digest, published)
 }
 
 func TestErrorNamesSettingOfPortInUse(t *testing.T) {
