--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -28,8 +28,8 @@
 	waitShare   = 0.10 // time to wait for the answer to a request
 )
 
-// Reader decides whether a node reads the published versions from the log service itself. In a large fleet only the first candidate
-// of each data centre does; the others ask it at short intervals to confirm that it does, and get the versions from it and from other
+// Reader decides whether a node reads the published versions from the log service itself. The first candidate of each data centre does;
+// the others ask it at short intervals to confirm that it does, and get the versions from it and from other
 // nodes. A node without a confirmation reads by itself. A node that is the only candidate relies on nobody.
 type Reader struct {
 	self       string
@@ -90,7 +90,7 @@
 
 func (r *Reader) first() bool { return len(r.candidates) > 0 && r.candidates[0] == r.self }
 
-// Hold returns how long the log service may hold the next read. A candidate's first read after a pause or after new versions isn't held,
+// Hold returns how long the log service may hold the next read. The hold is short at every node, since a read may never be answered. A candidate's first read after a pause or after new versions isn't held,
 // so that it can confirm soon that it knows the newest one.
 func (r *Reader) Hold(now time.Time) time.Duration {
 	if r.reliedUpon() {
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -188,7 +188,7 @@
 // CloseIdle closes the connections to the upstream that have been idle for too long to be used again.
 func (g *Gate) CloseIdle(now time.Time) { g.conns.expire(now) }
 
-// Suspect reports whether the upstream is suspect: its suspicion rose above suspectAbove and has not fallen below clearBelow since.
+// Suspect reports whether the upstream is suspect: its suspicion rose above suspectAbove and has not fallen below notSuspectBelow since.
 // The distance between the two thresholds keeps the state from flapping.
 func (g *Gate) Suspect(now time.Time) bool {
 	g.mu.Lock()
