--- a/peer/forward.go
+++ b/peer/forward.go
@@ -35,6 +35,8 @@
 	hopRequest        = "Hop-Request"
 	hopOrigin         = "Hop-Origin"
 	hopForced         = "Hop-Forced"
+	hopPriority       = "Hop-Priority"
+	hopAge            = "Hop-Age"    // microseconds since the request arrived at its ingress node, at the time of sending
 	hopTarget         = "Hop-Target" // request target, if it can't be the path of the forwarded request
 )
 
@@ -169,6 +171,15 @@
 	if a.Origin != "" {
 		req.Header.Set(hopOrigin, a.Origin)
 	}
+	if a.Caller != "" {
+		req.Header.Set(hopCaller, a.Caller)
+	}
+	if a.Prioritized {
+		req.Header.Set(hopPriority, strconv.Itoa(a.Priority))
+	}
+	if !a.Arrived.IsZero() {
+		req.Header.Set(hopAge, strconv.FormatInt(time.Since(a.Arrived).Microseconds(), 10))
+	}
 	req.Header.Set(hopRequest, a.RequestID)
 	if a.TypicalLatency > 0 {
 		req.Header.Set(hopTypicalLatency, strconv.FormatInt(a.TypicalLatency.Microseconds(), 10))
@@ -264,8 +275,14 @@
 	if err != nil || typicalMicros < 0 {
 		typicalMicros = 0 // unknown to the sender
 	}
+	priority, err := strconv.Atoi(h.Get(hopPriority))
+	prioritized := err == nil && priority >= 0
 	return &upstream.Attempt{
 		ID:               h.Get(hopAttempt),
+		Caller:           h.Get(hopCaller),
+		Prioritized:      prioritized,
+		Priority:         max(0, priority),
+		Arrived:          parseArrival(h.Get(hopAge), time.Now()),
 		Class:            h.Get(hopClass),
 		Deadline:         deadline,
 		AbsoluteDeadline: absoluteDeadline,
@@ -283,6 +300,15 @@
 	}, nil
 }
 
+// parseArrival returns the time at which a request arrived at its ingress node, given its age in microseconds; it is now if the age is unknown.
+func parseArrival(age string, now time.Time) time.Time {
+	micros, err := strconv.ParseInt(age, 10, 64)
+	if err != nil || micros < 0 {
+		return now
+	}
+	return now.Add(-time.Duration(micros) * time.Microsecond)
+}
+
 func sendError(w http.ResponseWriter, resp *upstream.Response, err error) {
 	var e *outcome.Error
 	if !errors.As(err, &e) {
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -34,7 +34,11 @@
 	ID               string
 	RequestID        string // id of the caller's request, the same for all its attempts
 	Origin           string // service of the node that received the request from the caller
-	Forced           bool   // the upstream is used although it is unhealthy, since no healthy one can be used
+	Caller           string // name of the authenticated caller, or empty
+	Prioritized      bool   // Priority replaces the priority of the class
+	Priority         int
+	Arrived          time.Time // arrival of the request at its ingress node; zero if unknown
+	Forced           bool      // the upstream is used although it is unhealthy, since no healthy one can be used
 	Class            string
 	Deadline         time.Time
 	AbsoluteDeadline bool // the deadline is a wall-clock time at which the permission to run the request ends
