Callers are authenticated by API keys of the bundle

Until now a caller was whatever a header said. If it holds any, the ingress node looks up the key of each request, refuses a missing or unknown one with 401 unless the route is public, and removes the key and the name that the request claims. The name reaches the upstream in Caller or Tenant, and the gate in Hop-Caller with Hop-Priority. A node answers 503 stale-bundle in place of 401 for an unknown key unless it has confirmed within platform.apply that it has the newest version (rollout.Freshness), and with keys.closed to all keys after keys.revoke without a confirmation. The operator's configuration holds tenants, public routes and downloads, which may be repeated; digests are taken while it is decoded.

A bundle without keys is served as before. The scope of an idempotency key travels in Hop-Key, so the unverified name of a keyed request no longer travels in Hop-Caller; nothing read it there.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -25,6 +25,7 @@
 	policy   Policy
 	services map[string]*Service
 	callers  map[string]*Caller
+	keys     map[keyDigest]*Caller  // callers by the digests of their keys
 	teams    map[string][]string    // signers by team
 	hosts    map[string]*hostRoutes // by host name
 }
@@ -111,18 +112,6 @@
 // Spill reports whether requests of the class may be sent to another region when their own region lacks capacity.
 func (c *Class) Spill() bool { return c.spec.Spill }
 
-// Caller is a caller with its rate limit, which applies over the whole fleet.
-type Caller struct{ spec CallerSpec }
-
-// Name returns the caller's name.
-func (c *Caller) Name() string { return c.spec.Name }
-
-// Rate returns the caller's rate limit in requests per second.
-func (c *Caller) Rate() float64 { return c.spec.Rate }
-
-// Burst returns how many requests the caller may send at once.
-func (c *Caller) Burst() float64 { return max(1, c.spec.Burst) }
-
 // Digest returns the digest of all entries.
 func (b *Bundle) Digest() Digest { return b.digest }
 
@@ -244,9 +233,7 @@
 			s.classes[c.Name] = &Class{c}
 		}
 	}
-	for _, c := range d.Callers {
-		b.callers[c.Name] = &Caller{c}
-	}
+	b.compileCallers(d.Callers)
 	b.compileRoutes(d)
 	return b, nil
 }
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -12,6 +13,8 @@
 const (
 	MaxPriority   = 9  // the least urgent priority
 	maxNameLength = 63 // in bytes
+
+	maxCallerNameLength = 128 // in bytes; the platform names callers more freely than services
 )
 
 // Document is a bundle in the form that operators write in TOML.
@@ -71,6 +74,7 @@
 	Timeout     setting.Duration  `toml:"timeout" json:"timeout,omitempty"`   // overrides the timeout of the class
 	MaxAttempts int               `toml:"attempts" json:"attempts,omitempty"` // maximum upstreams per request, refusals excluded; 0: default
 	Split       []SplitTargetSpec `toml:"split" json:"split,omitempty"`
+	Public      bool              `toml:"public" json:"public,omitempty"` // requests need no key
 }
 
 // SplitTargetSpec is one weighted target of a traffic split.
@@ -80,11 +84,13 @@
 	Weight  float64 `toml:"weight" json:"weight"`
 }
 
-// CallerSpec sets the rate limit of a caller.
+// CallerSpec describes a caller.
 type CallerSpec struct {
-	Name  string  `toml:"name" json:"name"`
-	Rate  float64 `toml:"rate" json:"rate"`   // requests per second
-	Burst float64 `toml:"burst" json:"burst"` // requests that the caller may send at once
+	Name     string   `toml:"name" json:"name"`
+	Keys     []string `toml:"keys" json:"keys,omitempty"`         // SHA-256 digests of its keys in hexadecimal; see KeyDigest
+	Priority *int     `toml:"priority" json:"priority,omitempty"` // replaces the priority of the class
+	Rate     float64  `toml:"rate" json:"rate"`                   // limit in requests per second; 0 for no limit
+	Burst    float64  `toml:"burst" json:"burst"`                 // requests that the caller may send at once
 }
 
 // Parse decodes, checks and compiles a TOML bundle. The error is a *setting.Error that lists all problems.
@@ -266,12 +272,46 @@
 }
 
 func (c *checker) callers(d *Document) {
+	owners := make(map[keyDigest]string) // name of the caller, by the digest of its key
 	for i, caller := range d.Callers {
 		key := fmt.Sprintf("caller[%d]", i)
-		c.name(key+".name", caller.Name)
+		c.callerName(key+".name", caller.Name)
 		c.unique(key+".name", "caller/"+caller.Name)
-		if caller.Rate <= 0 {
-			c.report(key+".rate", "is %g, want more than 0 requests a second", caller.Rate)
+		c.callerKeys(key+".keys", caller, owners)
+		if p := caller.Priority; p != nil && (*p < 0 || *p > MaxPriority) {
+			c.report(key+".priority", "is %d, want 0 (most urgent) to %d", *p, MaxPriority)
+		}
+		if !isFinite(caller.Rate) || caller.Rate < 0 {
+			c.report(key+".rate", "is %g, want at least 0 requests a second", caller.Rate)
+		}
+		if !isFinite(caller.Burst) {
+			c.report(key+".burst", "is %g, want a number of requests", caller.Burst)
+		}
+	}
+}
+
+// callerName reports a problem if the name can't be the value of a header and the first part of the scope of an idempotency key.
+func (c *checker) callerName(key, name string) {
+	invalidChar := strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' || r == '/' })
+	if name == "" || len(name) > maxCallerNameLength || invalidChar {
+		c.report(key, "%q is not a name of 1 to %d visible ASCII characters without slashes", name, maxCallerNameLength)
+	}
+}
+
+// callerKeys reports digests that are invalid or of a key of another caller. The problems don't quote them: an operator may have written
+// a key in clear.
+func (c *checker) callerKeys(key string, caller CallerSpec, owners map[keyDigest]string) {
+	for i, text := range caller.Keys {
+		digest, err := parseKeyDigest(text)
+		if err != nil {
+			c.report(key, "entry %d is not the SHA-256 digest of a key in hexadecimal", i)
+			continue
+		}
+		if owner, taken := owners[digest]; taken && owner != caller.Name {
+			c.report(key, "entry %d belongs to caller %q already", i, owner)
 		}
+		owners[digest] = caller.Name
 	}
 }
+
+func isFinite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
--- a/bundle/route.go
+++ b/bundle/route.go
@@ -47,6 +47,9 @@
 	return m.Route.spec.MaxAttempts
 }
 
+// Public reports whether requests on the route need no key.
+func (m Match) Public() bool { return m.Route != nil && m.Route.spec.Public }
+
 // Key returns the key of the route, which stays the same across versions of the bundle.
 func (r *Route) Key() string { return r.spec.key() }
 
--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -5,7 +5,8 @@
 type Dialect struct {
 	RequestIDHeader      string // carries the id of the request, used in logs and in the timeline of events
 	TimeoutHeader        string // carries the time in milliseconds after which the caller stops waiting
-	CallerHeader         string // carries the name of the caller
+	CallerHeader         string // carries the name of the caller, which is believed if the bundle has no keys
+	IdentityHeader       string // tells upstreams the name of the caller; it is removed from requests if the bundle has keys
 	KeyHeader            string // carries the idempotency key; a retry with the same key does not run the request again
 	KeyAttemptHeader     string // its value is 1 if no earlier request with the key can have run
 	FractionalRetryAfter bool   // the Retry-After header has fractions of a second
@@ -22,7 +23,7 @@
 
 // DefaultDialect returns the default protocol.
 func DefaultDialect() Dialect {
-	return Dialect{RequestIDHeader: RequestHeader, TimeoutHeader: TimeoutHeader, CallerHeader: CallerHeader, KeyHeader: KeyHeader, KeyAttemptHeader: KeyAttemptHeader}
+	return Dialect{RequestIDHeader: RequestHeader, TimeoutHeader: TimeoutHeader, CallerHeader: CallerHeader, IdentityHeader: CallerHeader, KeyHeader: KeyHeader, KeyAttemptHeader: KeyAttemptHeader}
 }
 
 // headerValue returns the value of a header, or "" if the dialect does not use it.
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -20,6 +20,10 @@
 type Fleet interface {
 	// Bundle returns the bundle in force.
 	Bundle() *bundle.Bundle
+	// TrustsKeys reports whether the node may still serve the keys of the bundle in force.
+	TrustsKeys() bool
+	// ConfirmedNewest reports whether the node has confirmed lately that no newer bundle exists than the one in force.
+	ConfirmedNewest() bool
 	// Admit counts a request against its caller's limit.
 	Admit(r *Request) error
 	// Serve runs the request; the error is an *outcome.Error.
@@ -60,7 +64,7 @@
 		d.sendProblem(w, "", err)
 		return
 	}
-	resp, err := serve(f, r, l.Body)
+	resp, err := d.serve(f, bundleInForce, r, l.Body)
 	if err == nil {
 		err = resp.ReadSmall()
 	}
@@ -108,7 +112,12 @@
 	return nil
 }
 
-func serve(f Fleet, r *Request, maxBody int64) (*upstream.Response, error) {
+func (d Dialect) serve(f Fleet, b *bundle.Bundle, r *Request, maxBody int64) (*upstream.Response, error) {
+	if b.HasKeys() {
+		if err := d.authenticate(f, b, r); err != nil {
+			return nil, unknownIfMayHaveRun(r, err)
+		}
+	}
 	if r.HTTP.ContentLength > maxBody {
 		err := errors.Errorf("body has %d bytes, limit is %d", r.HTTP.ContentLength, maxBody)
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeTooLarge, err)
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -20,8 +20,18 @@
 	"github.com/matryer/is"
 )
 
+// sureNode is the part of a fleet that knows the newest bundle.
+type sureNode struct{}
+
+func (sureNode) TrustsKeys() bool { return true }
+
+func (sureNode) ConfirmedNewest() bool { return true }
+
 // refusingFleet refuses all requests.
-type refusingFleet struct{ bundle *bundle.Bundle }
+type refusingFleet struct {
+	sureNode
+	bundle *bundle.Bundle
+}
 
 func (f refusingFleet) Bundle() *bundle.Bundle { return f.bundle }
 
@@ -69,7 +79,7 @@
 	const bodyBytes, requests = 1 << 20, 100
 	is := is.New(t)
 	e := echo.New()
-	caller.Mount(e, caller.DefaultDialect(), refusingFleet{parseBundle(t)}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
+	caller.Mount(e, caller.DefaultDialect(), refusingFleet{bundle: parseBundle(t)}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		w.Header().Set("Connection", "close")
 		e.ServeHTTP(w, req)
@@ -96,6 +106,7 @@
 
 // endlessFleet serves each request with a body without end, and tells how requests ended.
 type endlessFleet struct {
+	sureNode
 	bundle *bundle.Bundle
 	ended  chan error
 }
@@ -158,6 +169,7 @@
 
 // brokenFleet serves each request with a response whose body ends with an error.
 type brokenFleet struct {
+	sureNode
 	bundle *bundle.Bundle
 	length int64 // that the head names, or -1
 	sent   int   // bytes before the error
@@ -192,7 +204,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			e := echo.New()
-			caller.Mount(e, caller.DefaultDialect(), brokenFleet{parseBundle(t), tt.length, tt.sent}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
+			caller.Mount(e, caller.DefaultDialect(), brokenFleet{bundle: parseBundle(t), length: tt.length, sent: tt.sent}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
 			srv := httptest.NewServer(e)
 			defer srv.Close()
 			req, err := http.NewRequest(http.MethodPost, srv.URL, nil)
--- a/caller/problem.go
+++ b/caller/problem.go
@@ -27,6 +27,7 @@
 var statuses = map[outcome.Code]int{
 	outcome.CodeNoRoute:          http.StatusNotFound,
 	outcome.CodeBadRequest:       http.StatusBadRequest,
+	outcome.CodeUnauthenticated:  http.StatusUnauthorized,
 	outcome.CodeTooLarge:         http.StatusRequestEntityTooLarge,
 	outcome.CodeHeadTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	outcome.CodeCallerLimit:      http.StatusTooManyRequests,
@@ -85,6 +86,9 @@
 	} else if s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
 		h.Set("Retry-After", "1")
 	}
+	if s == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", keyScheme)
+	}
 	h.Set("Content-Type", "application/problem+json")
 	h.Set(outcome.HeaderName, string(e.Outcome))
 	p := problem{
--- a/caller/request.go
+++ b/caller/request.go
@@ -21,7 +21,10 @@
 // Request is a request of a caller while the fleet serves it.
 type Request struct {
 	ID           string
-	Caller       string
+	Caller       string // name of the caller, or empty
+	Identified   bool   // the caller has been identified by its key; otherwise its name is what the request says
+	Prioritized  bool   // Priority replaces the priority of the class
+	Priority     int
 	Match        bundle.Match
 	Key          string
 	FirstAttempt bool // no earlier request with the key can have run
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/rollout"
 )
 
 // tickReader asks a reader of the data centre to confirm that it reads, if that is due.
@@ -54,3 +55,40 @@
 		_ = level.Info(n.logger).Log("msg", "versions read by", "reader", cmp.Or(reader, "self"), "version", n.bundleVersion.Load())
 	}
 }
+
+// TrustsKeys implements caller.Fleet.
+func (n *Node) TrustsKeys() bool {
+	return !n.cfg.Keys.Closed || n.confirmedWithin(n.cfg.Keys.Revoke.Std())
+}
+
+// ConfirmedNewest implements caller.Fleet. By the own protocols, in which nodes confirm nothing to each other, a node that can't tell begins
+// to read the log.
+func (n *Node) ConfirmedNewest() bool {
+	if n.confirmedWithin(n.cfg.Platform.Apply.Std()) {
+		return true
+	}
+	if !n.protocols.hasConfigSource() && n.confirming.CompareAndSwap(false, true) {
+		n.spawn(func() {
+			defer n.confirming.Store(false)
+			ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Platform.Timeout.Std())
+			defer cancel()
+			_, _ = n.readPage(ctx, rollout.Stream, 0) // without an answer, the next request is refused in the same way
+		})
+	}
+	return false
+}
+
+// confirmedWithin reports whether the node has confirmed, at most the given time ago, that its newest version is that of the fleet, and has
+// put it in force.
+func (n *Node) confirmedWithin(limit time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.rollout.InForce() != n.Bundle() {
+		return false
+	}
+	freshness := n.freshness
+	if n.versionReader != nil {
+		freshness = n.versionReader.Freshness()
+	}
+	return freshness.Within(time.Now(), limit)
+}
--- a/node/keys.go
+++ b/node/keys.go
@@ -57,7 +57,6 @@
 func (n *Node) serveKeyed(ctx context.Context, j *forwardedRequest, r *caller.Request) (*upstream.Response, error) {
 	k := &peer.KeyedRequest{
 		Key:          r.Caller + "/" + j.match.Service.Name() + "/" + r.Key,
-		Caller:       r.Caller,
 		FirstAttempt: r.FirstAttempt,
 		Attempt:      (&dispatcher{req: j}).newAttempt(0),
 	}
@@ -160,7 +159,7 @@
 			return resp, err
 		}
 		j := &forwardedRequest{
-			requestID: k.ID, match: match, deadline: k.Deadline, hasKey: true, method: k.Method,
+			requestID: k.ID, caller: k.Caller, prioritized: k.Prioritized, priority: k.Priority, match: match, deadline: k.Deadline, hasKey: true, method: k.Method,
 			uri: k.URI, host: k.Host, header: k.Header, body: body,
 		}
 		resp, err := n.runKeyed(ctx, j, k.Key)
--- a/node/limit.go
+++ b/node/limit.go
@@ -31,7 +31,7 @@
 		return err
 	}
 	callerConfig := n.Bundle().Caller(r.Caller)
-	if callerConfig == nil {
+	if callerConfig == nil || !callerConfig.Limited() {
 		return nil
 	}
 	n.limits.mu.Lock()
@@ -86,7 +86,7 @@
 // GrantTokens implements peer.Node. It grants tokens from the caller's token bucket, for which this node is the home node.
 func (n *Node) GrantTokens(callerName string, requested, used float64) float64 {
 	callerConfig := n.Bundle().Caller(callerName)
-	if callerConfig == nil {
+	if callerConfig == nil || !callerConfig.Limited() {
 		return requested
 	}
 	n.limits.mu.Lock()
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -82,6 +82,7 @@
 
 // readPage reads and applies one page of the stream and reports whether more pages may follow.
 func (n *Node) readPage(ctx context.Context, stream string, maxWait time.Duration) (bool, error) {
+	sentAt := time.Now()
 	n.mu.Lock()
 	offset := n.tailCaches[stream].Next()
 	n.mu.Unlock()
@@ -101,6 +102,9 @@
 	if !morePages && stream == ownership.Stream {
 		n.owners.MarkCaughtUp(time.Now())
 	}
+	if !morePages && stream == rollout.Stream {
+		n.freshness.Advance(sentAt)
+	}
 	return morePages, nil
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -51,11 +51,14 @@
 	upstreamService atomic.Pointer[string] // service of the upstreams beside the node, from the settings
 	reliesOn        atomic.Pointer[string] // name of the node that last confirmed that it reads the published versions, or empty; for the log
 
+	confirming atomic.Bool // whether a read of the log runs that confirms the bundle, with the own protocols
+
 	mu             sync.Mutex // guards the fields from members to fetchCancels
 	members        *membership.Engine
 	rollout        *rollout.Engine
 	owners         *ownership.Engine
 	versionReader  *rollout.Reader                       // whether this node reads the published versions; nil with the own protocols
+	freshness      rollout.Freshness                     // of the bundle; with the own protocols, in place of that of versionReader
 	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
 	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
 	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/event"
@@ -91,6 +92,10 @@
 	if !n.requestLog.allow(success) {
 		return
 	}
-	_ = level.Info(n.logger).Log("msg", "request", "id", r.ID, "service", service, "class", class, "outcome", requestOutcome, "code", code, "status", status,
+	logger := n.logger
+	if r.Identified {
+		logger = log.With(logger, "caller", r.Caller)
+	}
+	_ = level.Info(logger).Log("msg", "request", "id", r.ID, "service", service, "class", class, "outcome", requestOutcome, "code", code, "status", status,
 		"ms", duration.Milliseconds(), "timeout", r.Match.Timeout().Milliseconds(), "bundle", n.bundleVersion.Load(), "steps", strings.Join(r.Steps, " "), "err", err)
 }
--- a/node/serve.go
+++ b/node/serve.go
@@ -26,6 +26,9 @@
 // forwardedRequest is a caller's request that is forwarded to an upstream of a service, at this node or another.
 type forwardedRequest struct {
 	requestID        string
+	caller           string // name of the caller that was identified by its key, or empty
+	prioritized      bool   // priority replaces the priority of the class
+	priority         int
 	match            bundle.Match
 	deadline         time.Time
 	originService    string // service of the upstream beside the node that received the request from the caller
@@ -48,6 +51,8 @@
 		requestID:     r.ID,
 		originService: n.originService(),
 		startTime:     time.Now(),
+		prioritized:   r.Prioritized,
+		priority:      r.Priority,
 		match:         r.Match,
 		deadline:      r.Deadline,
 		method:        r.HTTP.Method,
@@ -56,6 +61,9 @@
 		header:        upstream.CleanHeader(r.HTTP.Header),
 		body:          r.Body,
 	}
+	if r.Identified {
+		req.caller = r.Caller
+	}
 	if req.nonIdempotent() && r.Key != "" {
 		req.hasKey = true
 		return n.serveKeyed(ctx, req, r)
--- a/node/settings.go
+++ b/node/settings.go
@@ -18,6 +18,7 @@
 	Peers      peerSettings     `toml:"peers"`
 	Platform   platformSettings `toml:"platform"`
 	Trust      trustSettings    `toml:"trust"`
+	Keys       keySettings      `toml:"keys"`
 	Retry      retrySettings    `toml:"retry"`
 	Admin      adminSettings    `toml:"admin"`
 	Limits     limitSettings    `toml:"limits"`
@@ -52,6 +53,12 @@
 	Keys []string `toml:"keys"`
 }
 
+// keySettings says what becomes of requests with keys at a node that is out of touch with the store and with all nodes that read it.
+type keySettings struct {
+	Closed bool             `toml:"closed"` // refuse them after Revoke, instead of serving the keys that the node knows
+	Revoke setting.Duration `toml:"revoke"`
+}
+
 // retrySettings is the retry and ejection policy of a node with the platform's protocols, since the operator's configuration
 // contains none. With the default protocols, the bundle contains the policy.
 type retrySettings struct {
@@ -86,6 +93,7 @@
 const (
 	defaultLogServiceTimeout = time.Second
 	defaultApplyTime         = 2 * time.Second
+	defaultRevokeTime        = 5 * time.Second
 	defaultSnapshotInterval  = 10 * time.Minute
 	defaultMaxHeaderBytes    = 32 << 10
 	defaultMaxBodyBytes      = 16 << 20
@@ -108,6 +116,7 @@
 			Snapshot: setting.Duration(defaultSnapshotInterval),
 			Contract: defaultProtocols,
 		},
+		Keys:  keySettings{Revoke: setting.Duration(defaultRevokeTime)},
 		Retry: retrySettings{Ratio: defaultRetryRatio, Floor: defaultMinInServiceShare},
 		Limits: limitSettings{
 			Header:        defaultMaxHeaderBytes,
@@ -180,6 +189,12 @@
 	if s.Platform.Snapshot <= 0 {
 		problems = append(problems, setting.NewProblem("platform.snapshot", "is %v, want more than 0", s.Platform.Snapshot.Std()))
 	}
+	if s.Keys.Revoke <= 0 {
+		problems = append(problems, setting.NewProblem("keys.revoke", "is %v, want more than 0", s.Keys.Revoke.Std()))
+	}
+	if s.Keys.Closed && s.Platform.Contract == defaultProtocols {
+		problems = append(problems, setting.NewProblem("keys.closed", "needs platform.contract = %q: other nodes confirm nothing by the own protocols", platformProtocols))
+	}
 	if s.Limits.Keys < 1 && s.Platform.Contract == defaultProtocols {
 		problems = append(problems, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
 	}
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -26,6 +26,8 @@
 	CodeNoRoute          Code = "no-route"
 	CodeNoBundle         Code = "no-bundle"
 	CodeBadRequest       Code = "bad-request"
+	CodeUnauthenticated  Code = "unauthenticated" // the request has no key, or one that no caller has
+	CodeStaleBundle      Code = "stale-bundle"    // a newer version of the bundle may decide otherwise on the key of the request
 	CodeTooLarge         Code = "too-large"
 	CodeHeadTooLarge     Code = "head-too-large"
 	CodeCallerLimit      Code = "caller-limit"
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -61,7 +61,6 @@
 // KeyedRequest is a request with an idempotency key that is forwarded to the owner of the key.
 type KeyedRequest struct {
 	Key          string
-	Caller       string
 	FirstAttempt bool // no request with the key has been sent before
 	*upstream.Attempt
 }
@@ -75,7 +74,6 @@
 func (c *Client) ForwardKey(ctx context.Context, address string, k *KeyedRequest) (*upstream.Response, error) {
 	return c.forward(ctx, address, k.Attempt, func(h http.Header) {
 		h.Set(hopKey, k.Key)
-		h.Set(hopCaller, k.Caller)
 		if k.FirstAttempt {
 			h.Set(hopFirstAttempt, "1")
 		}
@@ -242,14 +240,14 @@
 
 func dispatch(r Receiver, req *http.Request, a *upstream.Attempt) (*upstream.Response, error) {
 	h := req.Header
-	id, key, caller, firstAttempt := h.Get(hopUpstream), h.Get(hopKey), h.Get(hopCaller), h.Get(hopFirstAttempt) != ""
+	id, key, firstAttempt := h.Get(hopUpstream), h.Get(hopKey), h.Get(hopFirstAttempt) != ""
 	for k := range a.Header {
 		if strings.HasPrefix(k, upstream.ReservedPrefix) {
 			delete(a.Header, k)
 		}
 	}
 	if key != "" {
-		return r.Keyed(req.Context(), &KeyedRequest{Key: key, Caller: caller, FirstAttempt: firstAttempt, Attempt: a})
+		return r.Keyed(req.Context(), &KeyedRequest{Key: key, FirstAttempt: firstAttempt, Attempt: a})
 	}
 	return r.Attempt(req.Context(), id, a)
 }
--- /dev/null
+++ b/rollout/freshness.go
@@ -0,0 +1,19 @@
+package rollout
+
+import "time"
+
+// Freshness tells until when a node has known all versions that were published. The zero value is that of a node that has never confirmed
+// that its version is the newest.
+type Freshness struct{ knownUntil time.Time }
+
+// Advance records that the node knows all versions that were published until t.
+func (f *Freshness) Advance(t time.Time) {
+	if t.After(f.knownUntil) {
+		f.knownUntil = t
+	}
+}
+
+// Within reports whether the node has confirmed, at most the given time ago, that it had the newest version.
+func (f Freshness) Within(now time.Time, limit time.Duration) bool {
+	return !f.knownUntil.IsZero() && now.Sub(f.knownUntil) <= limit
+}
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -50,6 +50,7 @@
 	returnAt    time.Time // the first candidate is asked again then
 	denials     int       // answers without confirmation in a row
 	asking      bool
+	freshness   Freshness // of the version in force here
 }
 
 // NewReader returns the reader of the named node; a published version must be in force at all nodes within the time apply. A node
@@ -117,8 +118,12 @@
 	if end := r.sentAt.Add(r.sentHold); !news && !now.Before(end) {
 		r.currentAt = end
 	}
+	r.freshness.Advance(r.currentAt)
 }
 
+// Freshness tells until when this node has known all published versions, by its own reads or by the word of another node.
+func (r *Reader) Freshness() Freshness { return r.freshness }
+
 // Failed records that a read was refused, got no answer or found that records are missing: a version may be unknown to this node.
 func (r *Reader) Failed() { r.currentAt = time.Time{} }
 
@@ -162,6 +167,7 @@
 	r.asking = false
 	if confirmed {
 		r.denials = 0
+		r.freshness.Advance(sentAt.Add(-r.proofTime)) // a reader confirms what it knew at most proofTime ago
 		r.leaseUntil, r.nextAsk = sentAt.Add(r.leaseTime), sentAt.Add(r.askInterval)
 		return
 	}
--- a/upstream/dialect.go
+++ b/upstream/dialect.go
@@ -10,6 +10,7 @@
 	DeadlineHeader     string        // carries the Unix time in milliseconds after which the upstream must not start the request
 	InstanceHeader     string        // carries the id of the upstream that must run the request; any other responds with 421 and does not run it
 	OriginHeader       string        // carries the service of the node that received the request from the caller
+	CallerHeader       string        // carries the name of the caller that was identified by its key
 	NotRunHeader       string        // set in a response if the upstream did not start the request
 	ExpireAfter        time.Duration // time after which an announcement expires unless it is renewed; 0 means ExpireAfter
 	ProofHeader        string        // a successful response without this header is not accepted; empty if none is required
@@ -22,6 +23,7 @@
 	DeadlineHeader = "Request-Deadline"
 	InstanceHeader = "Expected-Instance"
 	OriginHeader   = "Origin-Service"
+	CallerHeader   = "Caller"
 	ShedHeader     = "Shed" // reason why the upstream did not start the request
 	keyHeader      = "Idempotency-Key"
 )
@@ -30,6 +32,6 @@
 func DefaultDialect() Dialect {
 	return Dialect{
 		AttemptHeader: AttemptHeader, TimeoutHeader: TimeoutHeader, DeadlineHeader: DeadlineHeader,
-		InstanceHeader: InstanceHeader, OriginHeader: OriginHeader, NotRunHeader: ShedHeader,
+		InstanceHeader: InstanceHeader, OriginHeader: OriginHeader, CallerHeader: CallerHeader, NotRunHeader: ShedHeader,
 	}
 }
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -116,6 +116,9 @@
 	setHeader(req.Header, d.DeadlineHeader, strconv.FormatInt(a.Deadline.UnixMilli(), 10))
 	setHeader(req.Header, d.InstanceHeader, announcement.ID)
 	setHeader(req.Header, d.OriginHeader, a.Origin)
+	if a.Caller != "" {
+		setHeader(req.Header, d.CallerHeader, a.Caller)
+	}
 	return req
 }
 
