--- a/bundle/caller_test.go
+++ b/bundle/caller_test.go
@@ -22,17 +22,6 @@
 rate = 2
 burst = 5
 [[caller]]
-name = "One of the platform's names?"
-`, bundle.KeyDigest("a"), strings.ToUpper(bundle.KeyDigest("b")))))
-	is.True(err != nil) // a name with spaces can't be the value of a header
-	b, err = bundle.Parse("b.toml", []byte(validBundle+fmt.Sprintf(`
-[[caller]]
-name = "two"
-keys = [%q, %q]
-priority = 0
-rate = 2
-burst = 5
-[[caller]]
 name = "Upper:Case"
 keys = [%q]
 [[caller]]
@@ -73,6 +62,7 @@
 		{"rate", "[[caller]]\nname = \"x\"\nrate = -1\n", "caller[0].rate: is -1", ""},
 		{"rate that is no number", "[[caller]]\nname = \"x\"\nrate = nan\n", "caller[0].rate: is NaN", ""},
 		{"endless burst", "[[caller]]\nname = \"x\"\nburst = inf\n", "caller[0].burst: is +Inf", ""},
+		{"space in a name", "[[caller]]\nname = \"x y\"\n", "visible ASCII", ""},
 		{"slash in a name", "[[caller]]\nname = \"x/y\"\n", "without slashes", ""},
 	}
 	for _, tt := range tests {
