--- a/jasminectl/explain.go
+++ b/jasminectl/explain.go
@@ -179,7 +179,7 @@
 		return involved[l.value("upstream")]
 	case "member":
 		return involved[l.node] && involved[l.value("member")]
-	case "bundle", "started", "stopping", "stopped", "reloaded", "log service away", "log service back":
+	case "bundle", "version refused", "versions read by", "read failed", "started", "stopping", "stopped", "reloaded", "log service away", "log service back":
 		return involved[l.node]
 	}
 	return false
--- a/jasminectl/explain_test.go
+++ b/jasminectl/explain_test.go
@@ -28,3 +28,21 @@
 	is.Equal(got, []string{"n2 attempt", "n2 health", "n1 request"})
 	is.Equal(len(explain(lines, "nobody")), 0)
 }
+
+// TestExplainTellsOfARefusedKey guards against a refusal with 401 or 503 whose cause, the version of the node and who confirms it, is not shown.
+func TestExplainTellsOfARefusedKey(t *testing.T) {
+	is := is.New(t)
+	lines, err := parseLog(strings.NewReader(`level=info ts=2026-04-11T00:13:12.000Z node=n1 msg=bundle version=7 result=accepted source=store
+level=warn ts=2026-04-11T00:13:15.000Z node=n1 msg="read failed" err="status 503"
+level=info ts=2026-04-11T00:13:16.000Z node=n2 msg="versions read by" reader=n3
+level=info ts=2026-04-11T00:13:17.000Z node=n1 msg="versions read by" reader=self
+level=warn ts=2026-04-11T00:13:17.500Z node=n1 msg="version refused" err="caller[1].keys"
+level=info ts=2026-04-11T00:13:18.000Z node=n1 msg=request id=abc code=stale-bundle status=503 bundle=7 steps=
+`))
+	is.NoErr(err)
+	var got []string
+	for _, l := range explain(lines, "abc") {
+		got = append(got, l.node+" "+l.msg)
+	}
+	is.Equal(got, []string{"n1 bundle", "n1 read failed", "n1 versions read by", "n1 version refused", "n1 request"})
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -67,6 +68,7 @@
 	mu              sync.Mutex
 	entriesByStream map[string][]platform.Entry
 	firstOffset     map[string]platform.Offset
+	unavailable     atomic.Bool // whether reads fail
 }
 
 func newMemoryLog() *memoryLog {
@@ -83,6 +85,9 @@
 
 func (l *memoryLog) Read(ctx context.Context, stream string, fromOffset platform.Offset, wait time.Duration) (platform.Page, error) {
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
+		if l.unavailable.Load() {
+			return platform.Page{}, errors.New("the log is unavailable")
+		}
 		l.mu.Lock()
 		entries := l.entriesByStream[stream]
 		page := platform.Page{FirstOffset: l.firstOffset[stream], Next: platform.Offset(len(entries))}
