--- a/Makefile
+++ b/Makefile
@@ -51,4 +51,4 @@
 # Measures the decision code, for docs/CAPACITY.md.
 capacity:
 	mkdir -p docs/capacity
-	go test ./admission ./outlier ./routing ./bundle ./membership -run '^$$' -bench . -benchmem > docs/capacity/bench.txt
+	go test ./admission ./outlier ./routing ./bundle ./membership ./platform -run '^$$' -bench . -benchmem > docs/capacity/bench.txt
--- a/bundle/caller_test.go
+++ b/bundle/caller_test.go
@@ -1,6 +1,7 @@
 package bundle_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"strings"
@@ -179,7 +180,8 @@
 	}
 }
 
-// BenchmarkMemoryOfCallers measures the memory that a bundle holds for each caller.
+// BenchmarkMemoryOfCallers measures the memory that a bundle holds for each caller, and the size of the state that a node sends to one that
+// lacks it.
 func BenchmarkMemoryOfCallers(b *testing.B) {
 	heap := func() uint64 {
 		runtime.GC()
@@ -187,10 +189,15 @@
 		runtime.ReadMemStats(&m)
 		return m.HeapAlloc
 	}
+	state, err := json.Marshal(mustBuild(b, callerDocument(targetCallers, "key-0")).Entries())
+	if err != nil {
+		b.Fatal(err)
+	}
 	for b.Loop() {
 		before := heap()
 		built := mustBuild(b, callerDocument(targetCallers, "key-0"))
 		b.ReportMetric(float64(heap()-before)/targetCallers, "B/caller")
 		runtime.KeepAlive(built)
 	}
+	b.ReportMetric(float64(len(state)), "B/state")
 }
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -173,7 +173,8 @@
 }
 
 // TestVersionsArriveWhereNodesFreezeAndRestart draws histories of versions and of nodes that freeze, lose power, or lose the store or each
-// other, mostly just after a version. A node without a fault in the settled window must have each version within the bound.
+// other, mostly just after a version. A node without a fault in the settled window must have each version within the bound, and no node may hold
+// its version for the newest that lacks one published before the bound.
 func TestVersionsArriveWhereNodesFreezeAndRestart(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		apply := rapid.SampledFrom([]time.Duration{2 * time.Second, 3 * time.Second}).Draw(rt, "apply")
@@ -192,6 +193,9 @@
 					if due := f.due(published); !n.down && f.now.Sub(n.settled) > settledWindow && n.version < due {
 						rt.Fatalf("%s has version %d at %v, want %d", n.name, n.version, f.now, due)
 					}
+					if due := f.due(published); f.runs(n) && n.version < due && n.reader.Freshness().Within(f.now, apply) {
+						rt.Fatalf("%s holds version %d for the newest at %v, want %d", n.name, n.version, f.now, due)
+					}
 				}
 			}
 		}
@@ -229,6 +233,42 @@
 	})
 }
 
+// runs reports whether a node runs now, so that it may decide on requests.
+func (f *simFleet) runs(n *simNode) bool { return !n.down && !f.now.Before(n.frozen) }
+
+// TestCalmNodesKnowThatTheyHaveTheNewestVersion guards against nodes that can't refuse an unknown key for good although nothing is wrong, and
+// against nodes that still do so while the store is away.
+func TestCalmNodesKnowThatTheyHaveTheNewestVersion(t *testing.T) {
+	for _, nodes := range []int{1, 2, 12, 44} {
+		for _, apply := range []time.Duration{applyBound, 3 * time.Second} {
+			t.Run(fmt.Sprintf("%d/%v", nodes, apply), func(t *testing.T) {
+				f := newSimFleet(nodes, apply, true)
+				f.run(8 * time.Second)
+				for i := range 3000 {
+					if i%500 == 0 {
+						f.version++
+					}
+					f.run(step)
+					for _, n := range f.nodes {
+						if !n.reader.Freshness().Within(f.now, apply) {
+							t.Fatalf("%s doesn't know at %v that it has the newest version", n.name, f.now)
+						}
+					}
+				}
+				for _, n := range f.nodes {
+					n.refused = true
+				}
+				f.run(apply + time.Second)
+				for _, n := range f.nodes {
+					if n.reader.Freshness().Within(f.now, apply) {
+						t.Fatalf("%s holds its version for the newest without the store", n.name)
+					}
+				}
+			})
+		}
+	}
+}
+
 // due returns the version that must be in force now, given the times at which versions 2 and later were published.
 func (f *simFleet) due(published []time.Time) int {
 	version := 1
