Limits of callers hold over the whole fleet

Cause: the limiter admitted the first request of a caller at each node without asking, the allocator filled buckets anew at each start or move, and nodes without an answer went on at limit/n.

Allowances are tokens taken in advance, whose rest is given back. The choice of the allocator, the relay through the stand-in and the fallback to an own share are decisions of package quota.

--- a/node/directory.go
+++ b/node/directory.go
@@ -56,6 +56,7 @@
 	}
 	var seeds []string
 	for _, c := range contacts {
+		n.limits.learnMember(time.Now(), c.Name)
 		if c.Name != self.Name {
 			seeds = append(seeds, c.Address)
 			continue
--- a/node/members.go
+++ b/node/members.go
@@ -161,10 +161,12 @@
 		n.mu.Unlock()
 		if known {
 			update.add(n, n.view.replace(m), m)
+			n.limits.setMember(time.Now(), m)
 		}
 	}
 	for _, name := range output.Removed {
 		update.add(n, n.view.remove(name), membership.Member{Name: name, Status: membership.Left})
+		n.limits.removeMember(time.Now(), name)
 	}
 	if !n.protocols.hasConfigSource() {
 		n.updateOwnership()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,7 @@
 	versionReads     *prometheus.CounterVec
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
+	limitDecisions   *prometheus.CounterVec
 }
 
 // newMetrics returns the metrics of a node. The request and attempt metrics carry the node's data centre as a label.
@@ -65,7 +66,10 @@
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
+	m.limitDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "jasmine", Name: "limit_decisions_total", Help: "Decisions on requests of callers with a limit.",
+	}, []string{"decision"})
+	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -17,7 +17,6 @@
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
 	"github.com/jasminevane/jasminevane/platform"
-	"github.com/jasminevane/jasminevane/quota"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/jasminevane/jasminevane/tcp"
 	"github.com/jasminevane/jasminevane/upstream"
@@ -139,7 +138,7 @@
 	n.services.Store(&map[string]*serviceState{})
 	n.gates.byID = make(map[string]*upstream.Gate)
 	n.gates.announcedSuspect = make(map[*upstream.Gate]bool)
-	n.limits.callerLimiter, n.limits.tokenAllocator = &quota.Limiter{}, &quota.Allocator{}
+	n.limits.init(now, &n.cfg)
 	return n, nil
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -106,6 +106,7 @@
 func (n *Node) startLoops(ctx context.Context) {
 	n.runEvery(ctx, membershipTickInterval, n.tickMembership)
 	n.runEvery(ctx, gaugeUpdateInterval, n.updateEjectedGauge)
+	n.runEvery(ctx, limitTickInterval, n.tickLimits)
 	n.runEvery(ctx, gateSweepInterval, func(ctx context.Context, now time.Time) {
 		n.reportStall(now)
 		n.sweepGates(ctx, now)
--- a/node/serve.go
+++ b/node/serve.go
@@ -41,8 +41,17 @@
 
 func (r *forwardedRequest) nonIdempotent() bool { return !r.match.Class.Idempotent() }
 
-// Serve implements caller.Fleet. It forwards a request to an upstream and returns the upstream's response.
+// Serve implements caller.Fleet. It forwards a request to an upstream and returns the upstream's response. A request that has not run
+// doesn't count against the limit of its caller.
 func (n *Node) Serve(ctx context.Context, r *caller.Request) (*upstream.Response, error) {
+	resp, err := n.forward(ctx, r)
+	if notRun(err) {
+		n.returnToken(r.Caller)
+	}
+	return resp, err
+}
+
+func (n *Node) forward(ctx context.Context, r *caller.Request) (*upstream.Response, error) {
 	n.splitRoute(r)
 	req := &forwardedRequest{
 		requestID:     r.ID,
--- a/node/settings.go
+++ b/node/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/keyring"
+	"github.com/jasminevane/jasminevane/quota"
 	"github.com/jasminevane/jasminevane/setting"
 )
 
@@ -19,6 +20,7 @@
 	Platform   platformSettings `toml:"platform"`
 	Trust      trustSettings    `toml:"trust"`
 	Retry      retrySettings    `toml:"retry"`
+	Quota      quotaSettings    `toml:"quota"`
 	Admin      adminSettings    `toml:"admin"`
 	Limits     limitSettings    `toml:"limits"`
 	Log        logSettings      `toml:"log"`
@@ -60,6 +62,32 @@
 	Floor   float64 `toml:"floor"`   // minimum share of upstreams that ejection leaves in service
 }
 
+// quotaSettings bounds how far the requests of a caller in any window may exceed its limit.
+type quotaSettings struct {
+	Window  setting.Duration `toml:"window"`
+	Overage float64          `toml:"overage"` // as a share of what the limit allows in a window
+	Slack   float64          `toml:"slack"`   // requests in addition
+}
+
+func (s quotaSettings) rule() quota.Rule {
+	return quota.Rule{Window: s.Window.Std(), Overage: s.Overage, Slack: s.Slack}
+}
+
+// check returns the problems with the values.
+func (s quotaSettings) check() []setting.Problem {
+	var problems []setting.Problem
+	if s.Window.Std() < time.Second {
+		problems = append(problems, setting.NewProblem("quota.window", "is %v, want at least 1s", s.Window.Std()))
+	}
+	if !(s.Overage >= 0 && s.Overage <= 1) {
+		problems = append(problems, setting.NewProblem("quota.overage", "is %g, want 0 to 1", s.Overage))
+	}
+	if !(s.Slack >= 0) {
+		problems = append(problems, setting.NewProblem("quota.slack", "is %g, want at least 0", s.Slack))
+	}
+	return problems
+}
+
 type adminSettings struct {
 	Token string `toml:"token"`
 	Pprof bool   `toml:"pprof"`
@@ -109,6 +137,7 @@
 			Contract: defaultProtocols,
 		},
 		Retry: retrySettings{Ratio: defaultRetryRatio, Floor: defaultMinInServiceShare},
+		Quota: quotaSettings{Window: setting.Duration(quota.DefaultWindow), Overage: quota.DefaultOverage},
 		Limits: limitSettings{
 			Header:        defaultMaxHeaderBytes,
 			Body:          defaultMaxBodyBytes,
@@ -186,6 +215,7 @@
 	if s.Limits.Events < 0 {
 		problems = append(problems, setting.NewProblem("limits.events", "is %d, want at least 0", s.Limits.Events))
 	}
+	problems = append(problems, s.Quota.check()...)
 	return append(problems, s.checkLog()...)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer/peerv1"
 	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
+	"github.com/jasminevane/jasminevane/quota"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/jasminevane/jasminevane/tcp"
 	"github.com/pkg/errors"
@@ -216,15 +217,13 @@
 	return list, errors.Wrap(json.Unmarshal(resp.Msg.GetEvents(), &list), "decode events")
 }
 
-// RequestTokens asks the node at address for up to want tokens of a caller's rate limit.
-// Used is the number of requests that this node admitted without a grant.
-func (c *Client) RequestTokens(ctx context.Context, address, caller string, want, used float64) (float64, error) {
-	req := &peerv1.AllotRequest{Caller: caller, Want: want, Used: used}
-	resp, err := c.Peer(address).Allot(ctx, connect.NewRequest(req))
+// Allot asks the node at address for tokens of a caller's rate limit.
+func (c *Client) Allot(ctx context.Context, address string, ask quota.Ask) (quota.Grant, error) {
+	resp, err := c.Peer(address).Allot(ctx, connect.NewRequest(askProto(ask)))
 	if err != nil {
-		return 0, errors.Wrapf(err, "request share of caller limit from %s", address)
+		return quota.Grant{}, errors.Wrapf(err, "ask %s for tokens", address)
 	}
-	return resp.Msg.GetGranted(), nil
+	return quotaGrant(resp.Msg), nil
 }
 
 // Probe asks the node at via whether it can reach address.
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer/peerv1"
 	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
+	"github.com/jasminevane/jasminevane/quota"
 	"github.com/jasminevane/jasminevane/rollout"
 )
 
@@ -34,9 +35,8 @@
 	Reach(ctx context.Context, address string) bool
 	// UpstreamLoad returns the load of an upstream and the health evidence for a class; ok is false if the upstream is not local to the node.
 	UpstreamLoad(upstream, class string) (load string, ok bool)
-	// GrantTokens returns the number of tokens granted of a caller's rate limit, at most want.
-	// Used is the number of requests that the other node admitted without a grant.
-	GrantTokens(caller string, want, used float64) float64
+	// Allot grants tokens of a caller's rate limit.
+	Allot(ask quota.Ask) quota.Grant
 	// Events returns the recorded events that match f.
 	Events(f event.Filter) []event.Event
 	// RenewLeases renews leases and returns the node's incarnation and the shards that it refused.
@@ -118,7 +118,5 @@
 }
 
 func (s *server) Allot(_ context.Context, req *connect.Request[peerv1.AllotRequest]) (*connect.Response[peerv1.AllotResponse], error) {
-	m := req.Msg
-	n := s.node.GrantTokens(m.GetCaller(), m.GetWant(), m.GetUsed())
-	return connect.NewResponse(&peerv1.AllotResponse{Granted: n}), nil
+	return connect.NewResponse(grantProto(s.node.Allot(quotaAsk(req.Msg)))), nil
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -1,142 +1,258 @@
 package quota
 
 import (
+	"slices"
 	"time"
 )
 
-// Parameters of the tokens that a node keeps for each caller.
+// Parameters of a node that admits requests.
 const (
-	requestInterval = 100 * time.Millisecond // minimum interval between two token requests for one caller
-	deniedInterval  = 250 * time.Millisecond // replaces requestInterval if the last request failed or was granted less than half of the tokens
-	tokenTTL        = 5 * time.Second        // time since the last refill after which unused tokens expire
-	idleTimeout     = 10 * time.Second       // time after which the state of an idle caller is deleted
-	prefetchTime    = 500 * time.Millisecond // a token request asks for enough tokens for the expected requests of this time
-	rateDecayTime   = time.Second            // time constant of the moving average of the request rate
-	maxCallers      = 20000                  // number of callers at which new callers no longer get initial tokens
-	initialTokens   = 1                      // tokens that a new caller gets before its home node has granted any
+	reportInterval = 200 * time.Millisecond // minimum interval between calls that only report
+	spareTime      = 500 * time.Millisecond // time for which a token that comes too late may be used by another request
+	staleTime      = time.Second            // age of an answer from which its tokens are dropped: the process was paused
+	openTime       = 2 * time.Second        // time without a refusal after which a caller counts as within its limit
+	unansweredTime = 100 * time.Millisecond // time for which a node doesn't ask again after no node has answered
 )
 
-// TokenRequest asks the home node of the caller for tokens; one token admits one request.
-type TokenRequest struct {
-	Caller            string
-	RequestedTokens   float64
-	UngrantedRequests float64 // requests admitted with initial tokens, which the home node has not granted
+// Call asks a node. The result goes to Answered or Failed; Late is called where it takes too long.
+type Call struct {
+	To    string // name of the node; this node's own name for its own allocator
+	Ask   Ask
+	Limit Limit
+	sent  time.Time
+	late  bool
 }
 
-// account is the state of one caller at one node.
-type account struct {
-	tokens             float64       // tokens that the home node granted or the node refilled itself
-	initialTokens      float64       // remaining initial tokens
-	unreportedRequests float64       // requests admitted with initial tokens and not yet reported to the home node
-	requestRate        float64       // moving average in requests per second
-	lastRequestAt      time.Time     // time of the last request of the caller
-	tokenRequestAt     time.Time     // time of the last token request
-	minInterval        time.Duration // minimum interval until the next token request
-	refilledAt         time.Time     // time of the last grant or refill
+// Output is what the node has to do after an input.
+type Output struct {
+	Verdicts []Verdict
+	Call     *Call
 }
 
-// Limiter admits the requests of callers at one node; the zero value is ready to use.
+// Limiter admits the requests of callers at one node.
 type Limiter struct {
+	fleet    *Fleet
 	accounts map[string]*account
+	tickets  uint64
 	sweptAt  time.Time
 }
 
-// Admit reports whether a request of the caller is admitted, and may return a token request, which the node should send in the background.
-func (l *Limiter) Admit(now time.Time, caller string) (admitted bool, req *TokenRequest) {
-	a := l.account(now, caller)
-	a.updateRequestRate(now)
-	if now.Sub(a.refilledAt) > tokenTTL {
-		a.tokens = 0
-	}
-	switch {
-	case a.tokens >= 1:
-		a.tokens--
-		admitted = true
-	case a.initialTokens >= 1:
-		a.initialTokens--
-		a.unreportedRequests++
-		admitted = true
-	}
-	return admitted, l.tokenRequest(now, caller, a)
+// NewLimiter returns a limiter of a node with the given view.
+func NewLimiter(fleet *Fleet) *Limiter {
+	return &Limiter{fleet: fleet, accounts: make(map[string]*account)}
 }
 
-// account returns the account of the caller and creates it if there is none.
-func (l *Limiter) account(now time.Time, caller string) *account {
-	if l.accounts == nil {
-		l.accounts = make(map[string]*account)
+// Len returns the number of callers with state at this node.
+func (l *Limiter) Len() int { return len(l.accounts) }
+
+// Admit decides on a request. If the decision is Waiting, a later output decides on its ticket, or Cancel does.
+func (l *Limiter) Admit(now time.Time, caller string, limit Limit) (Verdict, *Call) {
+	if limit.Rate <= 0 {
+		return Verdict{Caller: caller, Decision: Unlimited}, nil
 	}
-	l.sweep(now)
 	a := l.accounts[caller]
 	if a == nil {
-		a = &account{initialTokens: initialTokens, lastRequestAt: now, refilledAt: now}
-		if len(l.accounts) >= maxCallers {
-			a.initialTokens = 0
-		}
+		a = &account{}
 		l.accounts[caller] = a
 	}
-	return a
+	a.setLimit(limit)
+	a.lastUsedAt = now
+	a.expire(now)
+	l.tickets++
+	d := Waiting
+	if len(a.queue) == 0 {
+		d = a.take(now)
+	}
+	if d != Waiting {
+		v := verdict(now, caller, a, l.tickets, d)
+		if d == Allowed && a.low() {
+			return v, l.report(now, caller, a)
+		}
+		return v, nil
+	}
+	a.queue = append(a.queue, l.tickets)
+	v := Verdict{Ticket: l.tickets, Caller: caller, Decision: Waiting}
+	if a.call != nil {
+		return v, nil
+	}
+	out := l.ask(now, caller, a)
+	if len(out.Verdicts) > 0 { // nobody is left to ask
+		return out.Verdicts[len(out.Verdicts)-1], nil
+	}
+	return v, out.Call
 }
 
-// updateRequestRate adds one request to the moving average of the request rate.
-func (a *account) updateRequestRate(now time.Time) {
-	elapsedDecayTimes := now.Sub(a.lastRequestAt).Seconds() / rateDecayTime.Seconds()
-	a.lastRequestAt = now
-	a.requestRate = a.requestRate/(1+elapsedDecayTimes) + 1/rateDecayTime.Seconds()
+func verdict(now time.Time, caller string, a *account, ticket uint64, d Decision) Verdict {
+	v := Verdict{Ticket: ticket, Caller: caller, Decision: d, Tokens: a.spare + a.allowance}
+	if !a.answeredAt.IsZero() {
+		v.Age = now.Sub(a.answeredAt)
+	}
+	switch d {
+	case Limited:
+		v.RetryAfter = max(time.Millisecond, a.blockedUntil.Sub(now))
+	case Unanswered:
+		v.RetryAfter = unansweredTime
+	}
+	v.Changed = a.note(now, d.Admitted())
+	return v
 }
 
-// tokenRequest returns a token request if less than half of the tokens for prefetchTime are left or if admitted requests are unreported,
-// and nil otherwise or if the last token request was too recent.
-func (l *Limiter) tokenRequest(now time.Time, caller string, a *account) *TokenRequest {
-	requestedTokens := a.requestRate*prefetchTime.Seconds() + 1
-	if a.tokens >= requestedTokens/2 && a.unreportedRequests == 0 || now.Sub(a.tokenRequestAt) < max(requestInterval, a.minInterval) {
-		return nil
+// ask starts a call to the first node that can be asked. If there is none, it decides on the waiting requests by the node's own share.
+func (l *Limiter) ask(now time.Time, caller string, a *account) Output {
+	a.places = l.fleet.place(caller, a.places)
+	for _, to := range []string{a.places.allocator, a.places.standIn} {
+		if to == "" || to != l.fleet.self && l.fleet.silent(now, to) {
+			continue
+		}
+		a.call = &Call{To: to, Limit: a.limit, sent: now, Ask: Ask{Caller: caller, Node: l.fleet.self, Wanted: float64(len(a.queue)), Used: a.used}}
+		a.used, a.reportedAt = 0, now
+		return Output{Call: a.call}
+	}
+	return Output{Verdicts: l.decideAlone(now, caller, a)}
+}
+
+func (l *Limiter) decideAlone(now time.Time, caller string, a *account) []Verdict {
+	var out []Verdict
+	a.blockedUntil = now.Add(unansweredTime)
+	for _, ticket := range a.queue {
+		d := Unanswered
+		if a.takeOwn(now, l.fleet.part(1)) {
+			d = Share
+		}
+		out = append(out, verdict(now, caller, a, ticket, d))
+	}
+	a.queue = nil
+	if a.ownTokens >= 1 {
+		a.blockedUntil = time.Time{}
+	}
+	return out
+}
+
+// Answered takes the answer to a call.
+func (l *Limiter) Answered(now time.Time, c *Call, g Grant) Output {
+	l.fleet.answered(c.To)
+	a := l.accounts[c.Ask.Caller]
+	if a == nil {
+		return Output{}
+	}
+	if now.Sub(c.sent) > staleTime {
+		g.Tokens = 0
 	}
-	a.tokenRequestAt = now
-	req := &TokenRequest{Caller: caller, RequestedTokens: requestedTokens, UngrantedRequests: a.unreportedRequests}
-	a.unreportedRequests = 0
-	return req
+	a.reach(now)
+	a.extend(now, g.Allowance, c.sent.Add(g.TTL))
+	if a.call != c { // the waiting requests were decided otherwise
+		a.keep(now, g.Tokens)
+		return Output{}
+	}
+	a.call = nil
+	var out Output
+	for g.Tokens >= 1 && len(a.queue) > 0 {
+		g.Tokens--
+		out.Verdicts = append(out.Verdicts, l.next(now, c.Ask.Caller, a, Granted))
+	}
+	a.keep(now, g.Tokens)
+	if g.RetryAfter > 0 {
+		a.blockedUntil = now.Add(g.RetryAfter)
+	}
+	return l.serveQueue(now, c.Ask.Caller, a, out)
 }
 
-// ApplyGrant adds the tokens that the home node granted for the token request.
-func (l *Limiter) ApplyGrant(now time.Time, req TokenRequest, granted float64) {
-	a := l.accounts[req.Caller]
+// next decides on the first request of the queue.
+func (l *Limiter) next(now time.Time, caller string, a *account, d Decision) Verdict {
+	ticket := a.queue[0]
+	a.queue = a.queue[1:]
+	return verdict(now, caller, a, ticket, d)
+}
+
+// serveQueue decides on the requests that came while a call was under way, and asks again for the others.
+func (l *Limiter) serveQueue(now time.Time, caller string, a *account, out Output) Output {
+	for len(a.queue) > 0 {
+		d := a.take(now)
+		if d == Waiting {
+			more := l.ask(now, caller, a)
+			return Output{Verdicts: append(out.Verdicts, more.Verdicts...), Call: more.Call}
+		}
+		out.Verdicts = append(out.Verdicts, l.next(now, caller, a, d))
+	}
+	return out
+}
+
+// Late tells that a call has had no answer for so long that another node is asked. An answer that comes after all may still be used.
+func (l *Limiter) Late(now time.Time, c *Call) Output {
+	a := l.accounts[c.Ask.Caller]
+	if a == nil || a.call != c {
+		return Output{}
+	}
+	c.late = true
+	return l.askNext(now, c, a)
+}
+
+// Failed tells that a call failed. What it reported is reported again, since it may not have arrived.
+func (l *Limiter) Failed(now time.Time, c *Call) Output {
+	a := l.accounts[c.Ask.Caller]
 	if a == nil {
-		return
+		return Output{}
 	}
-	a.minInterval = requestInterval
-	if granted < req.RequestedTokens/2 {
-		a.minInterval = deniedInterval
+	a.used += max(0, c.Ask.Used)
+	if a.call != c {
+		return Output{}
 	}
-	a.tokens += granted
-	a.refilledAt = now
+	return l.askNext(now, c, a)
 }
 
-// ApplyFailure handles a token request that got no response: the node refills the tokens itself at rate, which is its share of the
-// caller's limit in tokens per second.
-func (l *Limiter) ApplyFailure(now time.Time, req TokenRequest, rate float64) {
-	a := l.accounts[req.Caller]
+func (l *Limiter) askNext(now time.Time, c *Call, a *account) Output {
+	l.fleet.silence(now, c.To)
+	a.call = nil
+	if len(a.queue) == 0 {
+		return Output{}
+	}
+	return l.ask(now, c.Ask.Caller, a)
+}
+
+// Cancel ends the wait of a request and returns the decision on it; ok is false if it had been decided before.
+func (l *Limiter) Cancel(now time.Time, caller string, ticket uint64) (v Verdict, ok bool) {
+	a := l.accounts[caller]
 	if a == nil {
-		return
+		return Verdict{}, false
 	}
-	a.unreportedRequests += req.UngrantedRequests
-	a.minInterval = deniedInterval
-	refillSeconds := min(tokenTTL, now.Sub(a.refilledAt)).Seconds()
-	a.tokens = min(a.tokens+rate*refillSeconds, rate*tokenTTL.Seconds()+1)
-	a.refilledAt = now
+	i := slices.Index(a.queue, ticket)
+	if i < 0 {
+		return Verdict{}, false
+	}
+	a.queue = slices.Delete(a.queue, i, i+1)
+	return verdict(now, caller, a, ticket, Unanswered), true
 }
 
-// sweep deletes the state of idle callers, at most once per idleTimeout.
-func (l *Limiter) sweep(now time.Time) {
-	if now.Sub(l.sweptAt) < idleTimeout {
-		return
+// Return gives back the token of a request that was admitted but has not run.
+func (l *Limiter) Return(now time.Time, caller string) {
+	if a := l.accounts[caller]; a != nil {
+		a.keep(now, 1)
 	}
-	l.sweptAt = now
+}
+
+// Tick returns the calls that report requests admitted without a token and give unused tokens back. It must be called several times a second.
+func (l *Limiter) Tick(now time.Time) []*Call {
+	var calls []*Call
 	for caller, a := range l.accounts {
-		if now.Sub(a.lastRequestAt) > idleTimeout {
+		a.expire(now)
+		if a.used != 0 && a.call == nil && now.Sub(a.reportedAt) >= reportInterval {
+			if c := l.report(now, caller, a); c != nil {
+				calls = append(calls, c)
+			}
+		}
+		if now.Sub(a.lastUsedAt) > idleTime && a.used <= 0 && a.call == nil {
 			delete(l.accounts, caller)
 		}
 	}
+	return calls
 }
 
-// Len returns the number of callers with state at this node.
-func (l *Limiter) Len() int { return len(l.accounts) }
+// report starts a call that asks for nothing, unless nobody can be asked.
+func (l *Limiter) report(now time.Time, caller string, a *account) *Call {
+	a.places = l.fleet.place(caller, a.places)
+	a.reportedAt = now
+	if to := a.places.allocator; to != l.fleet.self && l.fleet.silent(now, to) && (a.places.standIn == "" || l.fleet.silent(now, a.places.standIn)) {
+		return nil
+	}
+	return l.ask(now, caller, a).Call
+}
