Admission by cost to callers as a second policy of the controller

Cause: admission orders classes by shares and their own priorities and refuses at fixed shares of the objective, with a Retry-After of one second; a caller's priority, its deadline and its share of the demand don't count.

Change: with admission.policy = "cost" the controller estimates the worth of a response from the distribution of the service times of its class, the objective and the deadline. What can be in time goes first, then the more urgent, nested calls, callers within their share, worth by work. The report of a gate tells the most urgent priority that it refuses, and ingress nodes believe a refusal longer where it names a time to return. Without the setting the order is as before.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -21,47 +21,6 @@
 	shrinkInterval      = 500 * time.Millisecond // minimum time after a change of the limit until it can be lowered
 )
 
-// Reason is the reason why a request was refused before it started.
-type Reason string
-
-// Reasons for a refusal.
-const (
-	Overload Reason = "overload" // the queue is full or the expected wait is too long
-	Expired  Reason = "expired"  // the request can hardly complete before its deadline
-	Draining Reason = "draining" // the controller is draining
-)
-
-// Class is the configuration of one request class.
-type Class struct {
-	Name     string
-	Priority int     // 0 is the most urgent
-	Share    float64 // share of the slots that is guaranteed to the class
-
-	NonIdempotent bool          // a request must not be executed twice, so it can't be retried at another upstream
-	Objective     time.Duration // target response time; 0 if there is none
-}
-
-// Request is a request that waits for a slot of the upstream.
-type Request struct {
-	ID         uint64
-	ClassIndex int
-	Deadline   time.Time
-}
-
-// Decision tells whether a request starts or is refused, and the reason for a refusal.
-type Decision struct {
-	ID     uint64
-	Start  bool   // false if the request is refused
-	Reason Reason // empty if the request starts
-}
-
-// Load describes how busy an upstream is.
-type Load struct {
-	Running int // number of running requests
-	Queued  int // number of queued requests
-	Limit   int // maximum number of running requests at present
-}
-
 // class is a request class with its queue and its state.
 type class struct {
 	Class
@@ -69,6 +28,9 @@
 	credit    float64   // unused guaranteed share in slot-seconds; negative if overdrawn
 	mean      float64   // mean service time in seconds; 0 if there is no sample
 	refusedAt time.Time // time of the last refusal for overload
+
+	times           serviceTimes
+	refusedPriority int // with the policy ByCost, the most urgent priority that was refused at refusedAt
 }
 
 // NoClass is the class index of a running request whose class the bundle in force lacks.
@@ -92,6 +54,7 @@
 	draining       bool
 	accruedAt      time.Time // time up to which the classes were credited
 	limitChangedAt time.Time
+	cost           *costQueue // state of the policy ByCost; nil with ByShare
 }
 
 // New returns a controller for an upstream with the given number of slots; a class is referred to by its index in classes.
@@ -121,6 +84,7 @@
 			if old.Name == config.Name {
 				c.classes[i].mean = old.mean
 				c.classes[i].credit = old.credit
+				c.classes[i].times = old.times
 			}
 		}
 		c.dispatchOrder = append(c.dispatchOrder, i)
@@ -179,6 +143,9 @@
 		}
 		c.classes[i].queue = nil
 	}
+	if c.cost != nil {
+		refusals = append(refusals, c.cost.flush(reason)...)
+	}
 	c.queued = 0
 	return refusals
 }
@@ -186,6 +153,9 @@
 // Offer queues or refuses a new request and returns the decisions that are now due, which may be on other requests too.
 // A request without a decision waits in the queue.
 func (c *Controller) Offer(now time.Time, r Request) []Decision {
+	if c.cost != nil {
+		return c.offerByCost(now, r)
+	}
 	c.accrueCredit(now)
 	class := &c.classes[r.ClassIndex]
 	if reason := c.refusalReason(now, r, class); reason != "" {
@@ -248,6 +218,10 @@
 
 // Cancel removes a queued request and reports whether it was still queued.
 func (c *Controller) Cancel(id uint64) bool {
+	if c.cost != nil && c.cost.remove(id) {
+		c.queued--
+		return true
+	}
 	for i := range c.classes {
 		queue := c.classes[i].queue
 		for j := range queue {
@@ -287,6 +261,7 @@
 	}
 	class := &c.classes[r.classIndex]
 	class.credit += r.charged - serviceTime
+	class.times.add(serviceTime, class.Objective, result)
 	if !result.Shed && !result.Failed {
 		class.updateMean(serviceTime)
 	}
@@ -328,6 +303,9 @@
 
 // expire refuses queued requests that can hardly meet their deadline.
 func (c *Controller) expire(now time.Time) []Decision {
+	if c.cost != nil {
+		return c.shed(now)
+	}
 	var refusals []Decision
 	for i := range c.classes {
 		class := &c.classes[i]
@@ -369,6 +347,9 @@
 // dispatch starts queued requests while slots are free and appends its decisions to those given. Classes with credit left come first,
 // then the others; both groups are in dispatch order.
 func (c *Controller) dispatch(now time.Time, decisions []Decision) []Decision {
+	if c.cost != nil {
+		return c.dispatchByCost(now, decisions)
+	}
 	for c.queued > 0 && len(c.running) < c.limit {
 		i := c.nextClass()
 		class := &c.classes[i]
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -166,6 +167,8 @@
 		AllowOtherRegion:    d.req.match.Class.Spill() && d.otherRegionAttempts < maxOtherRegionAttempts && d.node.linkHasCapacity(),
 		RequireFreeCapacity: requireSpare,
 		Objective:           d.req.match.Class.Objective(),
+		Priority:            d.req.effectivePriority(),
+		TimeLeft:            d.req.deadline.Sub(now),
 		DueTrialID:          d.node.dueTrial(now, d.state.name),
 	}
 	d.state.mu.Lock()
@@ -175,9 +178,10 @@
 	d.state.mu.Unlock()
 	if err != nil {
 		if d.pendingAttempts == 0 { // a hedge is tried again and again; only what the caller is told is recorded
+			d.node.metrics.recordIngressRefusal(d.state.name, d.req.match.Class.Name(), err)
 			d.recordSummary(attemptSummary{upstreamID: "none", startDelay: now.Sub(d.req.startTime), result: err.Error()})
 		}
-		return noUpstreamError(err)
+		return d.noUpstreamError(err)
 	}
 	d.doubtful = d.doubtful || len(d.triedIDs) == 0 && (choice.Trial || choice.Forced)
 	d.triedIDs = append(d.triedIDs, choice.ID)
@@ -199,11 +203,11 @@
 	return nil
 }
 
-func noUpstreamError(err error) error {
+func (d *dispatcher) noUpstreamError(err error) error {
 	rejection := outcome.NewError(outcome.NotRun, outcome.CodeNoUpstream, err)
 	var routingErr *routing.Error
 	if errors.As(err, &routingErr) && routingErr.Reason() == routing.Overloaded {
-		rejection.Code, rejection.RetryAfter = outcome.CodeOverload, retryAfter
+		rejection.Code, rejection.RetryAfter = outcome.CodeOverload, cmp.Or(routingErr.RetryAfter(), d.retryAfterUnknown())
 	}
 	return rejection
 }
@@ -215,6 +219,7 @@
 		RequestID:        req.requestID,
 		Origin:           req.originService,
 		Class:            req.match.Class.Name(),
+		Arrived:          req.arrived,
 		Deadline:         req.deadline,
 		AbsoluteDeadline: req.hasKey,
 		Method:           req.method,
@@ -358,7 +363,7 @@
 		return outcome.NewError(outcome.Unknown, outcomeErr.Code, outcomeErr.Err)
 	}
 	if outcomeErr.Code == outcome.CodeOverload {
-		outcomeErr.RetryAfter = retryAfter
+		outcomeErr.RetryAfter = cmp.Or(outcomeErr.RetryAfter, d.retryAfterUnknown())
 	}
 	return outcomeErr
 }
--- a/node/gates.go
+++ b/node/gates.go
@@ -161,7 +161,8 @@
 	applied.gate = s.byID[announcement.ID]
 	if applied.gate == nil {
 		applied.changed = true
-		applied.gate = upstream.NewGate(announcement, n.protocols.upstream, admissionClasses(n.Bundle(), announcement.Service), now)
+		applied.gate = upstream.NewGate(announcement, n.protocols.upstream, nil, now)
+		n.configureGate(applied.gate, n.Bundle())
 		s.add(n, announcement.ID, applied.gate)
 	}
 	applied.changed = applied.gate.Renew(announcement, now) || applied.changed
@@ -298,7 +299,7 @@
 	}
 	var classes []admission.Class
 	for _, class := range serviceConfig.Classes() {
-		classes = append(classes, admission.Class{Name: class.Name(), Priority: class.Priority(), Share: class.Share(), Objective: class.Objective(), NonIdempotent: !class.Idempotent()})
+		classes = append(classes, admission.Class{Name: class.Name(), Priority: class.Priority(), Share: class.Share(), Objective: class.Objective(), NonIdempotent: !class.Idempotent(), Nested: nestedClass(bundleInForce, class)})
 	}
 	return classes
 }
--- a/node/keys.go
+++ b/node/keys.go
@@ -161,7 +161,7 @@
 		}
 		j := &forwardedRequest{
 			requestID: k.ID, match: match, deadline: k.Deadline, hasKey: true, method: k.Method,
-			uri: k.URI, host: k.Host, header: k.Header, body: body,
+			uri: k.URI, host: k.Host, header: k.Header, body: body, arrived: n.arrivalForAdmission(k.Arrived),
 		}
 		resp, err := n.runKeyed(ctx, j, k.Key)
 		return resp, unknownForRepeat(k, err)
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -212,7 +212,7 @@
 	n.keys.setRetention(newBundle.Policy().KeyRetention())
 	n.setLinkLimit(newBundle.Policy().MaxLinkBytesPerSecond())
 	for _, gate := range n.gates.all() {
-		gate.SetClasses(admissionClasses(newBundle, gate.Announcement().Service))
+		n.configureGate(gate, newBundle)
 	}
 	n.updateAllServices()
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
+	"github.com/jasminevane/jasminevane/routing"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +21,7 @@
 	requestLatency   *prometheus.HistogramVec
 	attempts         *prometheus.CounterVec
 	attemptLatency   *prometheus.HistogramVec
+	refusals         *prometheus.CounterVec
 	healthChanges    *prometheus.CounterVec
 	liveMembers      prometheus.Gauge
 	ejectedUpstreams prometheus.Gauge
@@ -51,6 +53,9 @@
 		attemptLatency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: "jasmine", Name: "attempt_seconds", Help: "Duration of attempts at upstreams; to is the data centre of the upstream.", Buckets: latencyBuckets, ConstLabels: constLabels,
 		}, []string{"service", "to"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "jasmine", Name: "refusals_total", Help: "Attempts that a gate refused before they started, by reason, and requests that the node refused since all gates do (at=ingress).", ConstLabels: constLabels,
+		}, []string{"service", "class", "at", "reason"}),
 		healthChanges: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "jasmine", Name: "standing_changes_total", Help: "Ejections and restorations of upstreams.",
 		}, []string{"service", "to"}),
@@ -65,7 +70,7 @@
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
+	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
@@ -77,6 +82,22 @@
 	m.attemptLatency.WithLabelValues(service, dataCentre).Observe(duration.Seconds())
 }
 
+// recordRefusal counts an attempt if its gate refused it before it started.
+func (m *metrics) recordRefusal(service, class string, err error) {
+	var outcomeErr *outcome.Error
+	if errors.As(err, &outcomeErr) && outcomeErr.Outcome == outcome.NotRun {
+		m.refusals.WithLabelValues(service, class, "gate", string(outcomeErr.Code)).Inc()
+	}
+}
+
+// recordIngressRefusal counts a request for which no upstream could be chosen.
+func (m *metrics) recordIngressRefusal(service, class string, err error) {
+	var routingErr *routing.Error
+	if errors.As(err, &routingErr) {
+		m.refusals.WithLabelValues(service, class, "ingress", string(routingErr.Reason())).Inc()
+	}
+}
+
 // resultLabel returns the result of an attempt as a metric label: the status class such as 2xx, or the outcome and code of the error.
 func resultLabel(resp *upstream.Response, err error) string {
 	var outcomeErr *outcome.Error
--- a/node/serve.go
+++ b/node/serve.go
@@ -31,6 +31,7 @@
 	originService    string // service of the upstream beside the node that received the request from the caller
 	hasKey           bool   // whether the request is non-idempotent and has an idempotency key
 	startTime        time.Time
+	arrived          time.Time // time of arrival; zero unless admission is by cost to callers
 	attemptSummaries *[]string // filled by dispatchRequest for the request log; nil if the request is not logged
 	method           string
 	uri              string
@@ -44,10 +45,12 @@
 // Serve implements caller.Fleet. It forwards a request to an upstream and returns the upstream's response.
 func (n *Node) Serve(ctx context.Context, r *caller.Request) (*upstream.Response, error) {
 	n.splitRoute(r)
+	now := time.Now()
 	req := &forwardedRequest{
 		requestID:     r.ID,
 		originService: n.originService(),
-		startTime:     time.Now(),
+		startTime:     now,
+		arrived:       n.arrivalForAdmission(now),
 		match:         r.Match,
 		deadline:      r.Deadline,
 		method:        r.HTTP.Method,
@@ -83,6 +86,7 @@
 	duration := time.Since(startTime)
 	n.metrics.recordAttempt(state.name, attempt.Class, n.dataCentre(choice.Node), resp, err, duration)
 	observation := observeAttempt(resp, err, duration)
+	n.metrics.recordRefusal(state.name, attempt.Class, err)
 	state.mu.Lock()
 	state.balancer.Finish(time.Now(), choice, classIndex, observation)
 	state.mu.Unlock()
@@ -146,6 +150,10 @@
 			observation = loadObservation(load)
 		}
 	}
+	var outcomeErr *outcome.Error
+	if errors.As(err, &outcomeErr) && outcomeErr.Code == outcome.CodeOverload {
+		observation.RetryAfter = outcomeErr.RetryAfter
+	}
 	var transportErr *peer.TransportError
 	if errors.As(err, &transportErr) {
 		observation.PathLost = !transportErr.Sent() || duration > pathLostThreshold
@@ -154,7 +162,7 @@
 }
 
 func loadObservation(load upstream.Load) routing.Observation {
-	return routing.Observation{Load: load.Load, Refusing: load.Refusing, ClassReport: load.ClassReport, Suspicion: load.Suspicion, Reported: true}
+	return routing.Observation{Load: load.Load, Refusing: load.Refusing, RefusedFrom: load.RefusedFrom, ClassReport: load.ClassReport, Suspicion: load.Suspicion, Reported: true}
 }
 
 // watchAttempt starts a timer that queries the upstream's node if the attempt gets no response in time. The query tells
--- a/node/settings.go
+++ b/node/settings.go
@@ -4,24 +4,26 @@
 	"net/netip"
 	"time"
 
+	"github.com/jasminevane/jasminevane/admission"
 	"github.com/jasminevane/jasminevane/keyring"
 	"github.com/jasminevane/jasminevane/setting"
 )
 
 // Settings holds the settings of one node, as written in TOML.
 type Settings struct {
-	Name       string           `toml:"name"`
-	Region     string           `toml:"region"`
-	DataCentre string           `toml:"data_centre"`
-	Service    string           `toml:"service"` // service of the upstreams beside the node
-	Listen     listenSettings   `toml:"listen"`
-	Peers      peerSettings     `toml:"peers"`
-	Platform   platformSettings `toml:"platform"`
-	Trust      trustSettings    `toml:"trust"`
-	Retry      retrySettings    `toml:"retry"`
-	Admin      adminSettings    `toml:"admin"`
-	Limits     limitSettings    `toml:"limits"`
-	Log        logSettings      `toml:"log"`
+	Name       string            `toml:"name"`
+	Region     string            `toml:"region"`
+	DataCentre string            `toml:"data_centre"`
+	Service    string            `toml:"service"` // service of the upstreams beside the node
+	Listen     listenSettings    `toml:"listen"`
+	Peers      peerSettings      `toml:"peers"`
+	Platform   platformSettings  `toml:"platform"`
+	Trust      trustSettings     `toml:"trust"`
+	Retry      retrySettings     `toml:"retry"`
+	Admin      adminSettings     `toml:"admin"`
+	Limits     limitSettings     `toml:"limits"`
+	Admission  admissionSettings `toml:"admission"`
+	Log        logSettings       `toml:"log"`
 }
 
 type listenSettings struct {
@@ -77,6 +79,10 @@
 	HeaderTimeout setting.Duration `toml:"header_timeout"`
 }
 
+type admissionSettings struct {
+	Policy string `toml:"policy"` // "cost" or "share"; empty to let the bundle decide
+}
+
 type logSettings struct {
 	Format string `toml:"format"`
 	Level  string `toml:"level"`
@@ -183,6 +189,11 @@
 	if s.Limits.Keys < 1 && s.Platform.Contract == defaultProtocols {
 		problems = append(problems, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
 	}
+	switch admission.Policy(s.Admission.Policy) {
+	case "", admission.ByShare, admission.ByCost:
+	default:
+		problems = append(problems, setting.NewProblem("admission.policy", "is %q, want %q or %q", s.Admission.Policy, admission.ByShare, admission.ByCost))
+	}
 	if s.Limits.Events < 0 {
 		problems = append(problems, setting.NewProblem("limits.events", "is %d, want at least 0", s.Limits.Events))
 	}
--- a/routing/balancer.go
+++ b/routing/balancer.go
@@ -16,7 +16,6 @@
 	loadDecayTime         = 500 * time.Millisecond // time constant with which a reported load decays to the expected load
 	utilizationDecayTime  = 2 * time.Second        // time constant with which the utilization of a region decays
 	utilizationWeight     = 0.2                    // weight of one report in the moving average of the utilization of a region
-	refusalTTL            = 75 * time.Millisecond  // time for which an upstream that reported a refusal is not used for that class
 	reportTTL             = 5 * time.Second        // age after which a report is ignored
 	minSamples            = 8                      // minimum number of samples for the service time of an upstream to count in the median
 	slowStartTime         = 3 * time.Second        // time until a new upstream gets its full share of the requests
@@ -54,6 +53,8 @@
 	Load        admission.Load
 	Reported    bool           // a response arrived that carries Load, ClassReport and Suspicion
 	Refusing    bool           // the gate currently refuses the class of the attempt
+	RefusedFrom int            // the most urgent priority at which it does; 0 if it refuses all
+	RetryAfter  time.Duration  // the gate refused the attempt and expects room after this time; 0 if unknown
 	ClassReport outlier.Report // service times and failures of the class of the attempt
 	Suspicion   float64        // the gate's estimate of the probability, 0 to 1, that the upstream is unhealthy
 	PathLost    bool           // the node of the upstream could not be reached or did not respond
@@ -63,7 +64,7 @@
 type classReport struct {
 	report     outlier.Report
 	receivedAt time.Time
-	refusedAt  time.Time // time of the report if it says that the gate refuses the class, otherwise zero
+	refusal    refusal
 }
 
 // endpoint is an upstream with what the node observed about it.
@@ -260,10 +261,8 @@
 	e.limit = o.Load.Limit
 	e.lastSuspicion, e.suspicionAt = o.Suspicion, now
 	r := e.classReport(classIndex)
-	r.report, r.receivedAt, r.refusedAt = o.ClassReport, now, time.Time{}
-	if o.Refusing {
-		r.refusedAt = now
-	}
+	r.report, r.receivedAt = o.ClassReport, now
+	r.refusal.record(now, o)
 	lb.recordUtilization(now, e)
 }
 
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -61,13 +61,17 @@
 
 // Error reports that no upstream could be chosen.
 type Error struct {
-	service string
-	reason  Refusal
+	service    string
+	reason     Refusal
+	retryAfter time.Duration
 }
 
 // Reason returns why no upstream was chosen.
 func (e *Error) Reason() Refusal { return e.reason }
 
+// RetryAfter returns the time after which the upstreams that refuse expect room, or 0 if unknown.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
 // Error implements error.
 func (e *Error) Error() string { return fmt.Sprintf("route to %s: %s", e.service, e.reason) }
 
@@ -75,10 +79,12 @@
 type Query struct {
 	NonIdempotent       bool // the request must not be executed twice
 	ClassIndex          int
+	Priority            int           // effective priority; 0 is the most urgent
 	ExcludedIDs         []string      // IDs of upstreams that earlier attempts used
 	AllowTrial          bool          // the attempt may be a trial request to an unhealthy upstream
 	DueTrialID          string        // ID of an unhealthy upstream whose gate is known to wait for a trial request now; empty if there is none
 	Objective           time.Duration // target response time; 0 if there is none
+	TimeLeft            time.Duration // time until the deadline
 	AllowOtherRegion    bool          // upstreams in other regions may be used
 	RequireFreeCapacity bool          // only an upstream with free capacity may be used
 }
@@ -113,7 +119,7 @@
 		if refused {
 			reason = Overloaded
 		}
-		return Choice{}, &Error{service: lb.service, reason: reason}
+		return Choice{}, &Error{service: lb.service, reason: reason, retryAfter: lb.returnTime(now, &q, rnd)}
 	}
 	c := lb.choose(now, best)
 	c.Forced = c.Suspicion > unhealthyThreshold
@@ -199,7 +205,7 @@
 		if e == skip || e.suspicion(now) > threshold || !e.usable(now, q) {
 			continue
 		}
-		if lb.refuses(now, e, q.ClassIndex) {
+		if lb.refuses(now, e, q) {
 			refused = true
 			continue
 		}
@@ -213,9 +219,9 @@
 	return !now.Before(e.avoidUntil) && !slices.Contains(q.ExcludedIDs, e.ID)
 }
 
-// refuses reports whether the upstream recently refused the class, or is in another region and is saturated.
-func (lb *Balancer) refuses(now time.Time, e *endpoint, classIndex int) bool {
-	return now.Sub(e.classReport(classIndex).refusedAt) < refusalTTL || e.Tier == OtherRegion && lb.saturated(now, e)
+// refuses reports whether the upstream recently refused the class at the priority, or is in another region and is saturated.
+func (lb *Balancer) refuses(now time.Time, e *endpoint, q *Query) bool {
+	return e.classReport(q.ClassIndex).refusal.holds(now, q.Priority) || e.Tier == OtherRegion && lb.saturated(now, e)
 }
 
 // healthiest returns the usable upstream with the lowest suspicion.
@@ -224,7 +230,7 @@
 	var best *endpoint
 	for tier := SameDataCentre; tier <= q.farthestTier(); tier++ {
 		for _, e := range lb.ready[tier] {
-			if !e.usable(now, q) || lb.refuses(now, e, q.ClassIndex) || q.NonIdempotent && len(lb.byID) > 1 && e.suspicion(now) > forceThreshold {
+			if !e.usable(now, q) || lb.refuses(now, e, q) || q.NonIdempotent && len(lb.byID) > 1 && e.suspicion(now) > forceThreshold {
 				continue
 			}
 			if best == nil || e.suspicion(now) < best.suspicion(now) {
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -68,7 +68,8 @@
 	mu           sync.Mutex
 	announcement Announcement
 	expires      time.Time
-	classIndexes map[string]int // index in samplers, by class name
+	classes      []admission.Class
+	classIndexes map[string]int // index in classes and samplers, by class name
 	samplers     []outlier.Sampler
 	inFlight     map[uint64]*inFlight
 	estimator    outlier.Estimator
@@ -125,6 +126,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	oldSamplers, oldIndexes := g.samplers, g.classIndexes
+	g.classes = classes
 	g.classIndexes = make(map[string]int, len(classes))
 	g.samplers = make([]outlier.Sampler, len(classes))
 	for i, c := range classes {
@@ -136,6 +138,13 @@
 	g.deliver(g.controller.SetClasses(classes))
 }
 
+// SetPolicy sets the policy by which requests are ordered and refused.
+func (g *Gate) SetPolicy(p admission.Policy) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.deliver(g.controller.SetPolicy(p))
+}
+
 // Announcement returns the current announcement.
 func (g *Gate) Announcement() Announcement {
 	g.mu.Lock()
@@ -171,7 +180,7 @@
 	if !ok {
 		return l
 	}
-	l.Refusing = g.controller.Refusing(now, i)
+	l.RefusedFrom, l.Refusing = g.controller.RefusedPriority(now, i)
 	var ages []time.Duration
 	g.controller.EachRunning(func(_ uint64, classIndex int, start time.Time) {
 		if classIndex == i {
@@ -311,7 +320,7 @@
 	id := g.nextID
 	g.decisions[id] = ch
 	now := time.Now()
-	g.deliver(g.controller.Offer(now, admission.Request{ID: id, ClassIndex: class, Deadline: a.Deadline.Add(-deadlineMargin)}))
+	g.deliver(g.controller.Offer(now, g.admissionRequest(a, id, class)))
 	g.signalQueued(now)
 	g.mu.Unlock()
 	select {
@@ -322,6 +331,17 @@
 	}
 }
 
+// admissionRequest returns the attempt as a request to the controller.
+func (g *Gate) admissionRequest(a *Attempt, id uint64, classIndex int) admission.Request {
+	class := g.classes[classIndex]
+	r := admission.Request{ID: id, ClassIndex: classIndex, Deadline: a.Deadline.Add(-deadlineMargin), Caller: a.Caller, Arrived: a.Arrived, Nested: class.Nested}
+	r.Priority = class.Priority
+	if a.Prioritized {
+		r.Priority = a.Priority
+	}
+	return r
+}
+
 // allows reports whether the upstream is healthy enough for the attempt.
 // An upstream whose suspicion reaches trialSuspicion is sent only an occasional idempotent request as a trial.
 func (g *Gate) allows(now time.Time, a *Attempt) bool {
@@ -363,7 +383,9 @@
 		admission.Expired:  outcome.CodeExpired,
 		admission.Draining: outcome.CodeDraining,
 	}
-	return outcome.NewError(outcome.NotRun, codes[v.Reason], nil)
+	refusal := outcome.NewError(outcome.NotRun, codes[v.Reason], nil)
+	refusal.RetryAfter = v.RetryAfter
+	return refusal
 }
 
 // finish releases the slot of an attempt and records its result.
--- a/upstream/load.go
+++ b/upstream/load.go
@@ -14,6 +14,7 @@
 type Load struct {
 	Load        admission.Load
 	Refusing    bool // requests of the class are being rejected
+	RefusedFrom int  // the most urgent priority at which they are; 0 if all are
 	ClassReport outlier.Report
 	Suspicion   float64 // probability that the upstream is unhealthy, 0 to 1, as its gate estimates it
 }
@@ -25,7 +26,7 @@
 func (l Load) String() string {
 	refusing := 0
 	if l.Refusing {
-		refusing = 1
+		refusing = 1 + l.RefusedFrom
 	}
 	return fmt.Sprintf("%d,%d,%d,%d,%d,%d,%d,%d,%d", l.Load.Running, l.Load.Queued, l.Load.Limit, refusing,
 		int(l.ClassReport.MeanLogMicros*milli), int(l.ClassReport.FailureCount*milli), int(l.ClassReport.SampleCount*milli), l.ClassReport.TotalSamples, int(l.Suspicion*milli))
@@ -51,6 +52,7 @@
 	var l Load
 	l.Load.Running, l.Load.Queued, l.Load.Limit = int(v[0]), int(v[1]), int(v[2])
 	l.Refusing = v[3] > 0
+	l.RefusedFrom = int(max(0, v[3]-1))
 	l.ClassReport = outlier.Report{MeanLogMicros: float64(v[4]) / milli, FailureCount: float64(v[5]) / milli, SampleCount: float64(v[6]) / milli, TotalSamples: uint64(v[7])}
 	l.Suspicion = float64(v[8]) / milli
 	return l, nil
