--- a/admission/costqueue.go
+++ b/admission/costqueue.go
@@ -134,7 +134,7 @@
 	}
 	q.recordOffer(now, &candidate)
 	if candidate.worthAtOffer < minWorth || !now.Before(r.Deadline) {
-		return []Decision{{ID: r.ID, Reason: Expired}}
+		return []Decision{c.giveUp(now, &candidate)}
 	}
 	q.order(now)
 	q.assess(now, &candidate)
@@ -193,6 +193,17 @@
 	return l.refusal < minWorth || l.delay > maxDelayLoss*l.refusal
 }
 
+// giveUp returns the refusal of a request that can't be answered with enough worth any more.
+func (c *Controller) giveUp(now time.Time, candidate *candidate) Decision {
+	return Decision{ID: candidate.ID, Reason: Expired, RetryAfter: c.returnTime(now, candidate, 0)}
+}
+
+// returnTime returns the time after which a refused request is to return, given the wait that it would have.
+func (c *Controller) returnTime(now time.Time, candidate *candidate, wait time.Duration) time.Duration {
+	interval := seconds(c.meanRunningWork() / float64(c.limit))
+	return c.cost.returns.hint(now, candidate.Priority, wait, interval, candidate.Deadline.Sub(now))
+}
+
 // refuse returns the refusal of a request for overload.
 func (c *Controller) refuse(now time.Time, candidate *candidate, wait time.Duration) Decision {
 	class := candidate.class
@@ -200,9 +211,7 @@
 	if candidate.overuse <= 0 && c.tooLong(now, &fresh, wait) {
 		class.recordRefusal(now, candidate.Priority)
 	}
-	interval := seconds(c.meanRunningWork() / float64(c.limit))
-	hint := c.cost.returns.hint(now, candidate.Priority, wait, interval, candidate.Deadline.Sub(now))
-	return Decision{ID: candidate.ID, Reason: Overload, RetryAfter: hint}
+	return Decision{ID: candidate.ID, Reason: Overload, RetryAfter: c.returnTime(now, candidate, wait)}
 }
 
 // shed refuses the queued requests that can hardly meet their deadline, and those that are expected to lose too much of their worth
@@ -218,7 +227,7 @@
 		wait := seconds(work / float64(c.limit))
 		switch {
 		case candidate.worthAt(now) < minWorth || !now.Before(candidate.Deadline):
-			refusals = append(refusals, Decision{ID: candidate.ID, Reason: Expired})
+			refusals = append(refusals, c.giveUp(now, &candidate))
 		case candidate.worthAt(now.Add(wait)) < (1-maxQueuedLoss)*candidate.worthAtOffer:
 			refusals = append(refusals, c.refuse(now, &candidate, wait))
 		default:
@@ -240,7 +249,7 @@
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		c.queued--
 		if candidate.worthAt(now) < minWorth || !now.Before(candidate.Deadline) {
-			decisions = append(decisions, Decision{ID: candidate.ID, Reason: Expired})
+			decisions = append(decisions, c.giveUp(now, &candidate))
 			continue
 		}
 		q.recordStart(now, &candidate)
--- a/admission/retryafter.go
+++ b/admission/retryafter.go
@@ -51,3 +51,8 @@
 	longest := time.Duration(maxReturnShare * (minCapSpread + capSpread*point) * float64(left))
 	return max(0, min(max(minReturn, spread), longest))
 }
+
+// LimitReturn limits the time after which a refused request returns to a third of the time that it has left.
+func LimitReturn(after, left time.Duration) time.Duration {
+	return max(0, min(after, time.Duration(maxReturnShare*float64(left))))
+}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -207,7 +206,7 @@
 	rejection := outcome.NewError(outcome.NotRun, outcome.CodeNoUpstream, err)
 	var routingErr *routing.Error
 	if errors.As(err, &routingErr) && routingErr.Reason() == routing.Overloaded {
-		rejection.Code, rejection.RetryAfter = outcome.CodeOverload, cmp.Or(routingErr.RetryAfter(), d.retryAfterUnknown())
+		rejection.Code, rejection.RetryAfter = outcome.CodeOverload, d.returnTime(routingErr.RetryAfter())
 	}
 	return rejection
 }
@@ -363,7 +362,7 @@
 		return outcome.NewError(outcome.Unknown, outcomeErr.Code, outcomeErr.Err)
 	}
 	if outcomeErr.Code == outcome.CodeOverload {
-		outcomeErr.RetryAfter = cmp.Or(outcomeErr.RetryAfter, d.retryAfterUnknown())
+		outcomeErr.RetryAfter = d.returnTime(outcomeErr.RetryAfter)
 	}
 	return outcomeErr
 }
--- a/node/policy.go
+++ b/node/policy.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/jasminevane/jasminevane/admission"
@@ -33,12 +34,16 @@
 // effectivePriority returns the priority of the request.
 func (r *forwardedRequest) effectivePriority() int { return r.match.Class.Priority() }
 
-// retryAfterUnknown returns the time after which a refused request is to return if no gate told one.
-func (d *dispatcher) retryAfterUnknown() time.Duration {
+// returnTime returns the time after which the caller of a refused request is to return, given the one that a gate told, or 0 if none did.
+func (d *dispatcher) returnTime(told time.Duration) time.Duration {
 	if d.req.arrived.IsZero() {
-		return retryAfter
+		return cmp.Or(told, retryAfter)
 	}
-	return admission.SpreadReturn(retryAfter, time.Until(d.req.deadline), d.state.randomPoint())
+	left := time.Until(d.req.deadline)
+	if told == 0 {
+		return admission.SpreadReturn(retryAfter, left, d.state.randomPoint())
+	}
+	return admission.LimitReturn(told, left)
 }
 
 // randomPoint returns a random number in [0, 1).
