--- /dev/null
+++ b/upstream/priority_test.go
@@ -0,0 +1,63 @@
+package upstream_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jasminevane/jasminevane/admission"
+	"github.com/matryer/is"
+)
+
+// TestPriorityOfTheAttemptDecides guards against a gate that orders attempts by the priority of their class although they carry one of their
+// own, and against a policy that takes effect where it was not set.
+func TestPriorityOfTheAttemptDecides(t *testing.T) {
+	tests := []struct {
+		policy admission.Policy
+		want   []string
+	}{
+		{admission.ByShare, []string{"a.1", "a.2", "a.3"}},
+		{admission.ByCost, []string{"a.1", "a.3", "a.2"}},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.policy), func(t *testing.T) {
+			is := is.New(t)
+			var mu sync.Mutex
+			var order []string
+			first := make(chan struct{})
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				id := r.Header.Get("Attempt-Id")
+				mu.Lock()
+				order = append(order, id)
+				mu.Unlock()
+				if id == "a.1" {
+					<-first
+				}
+				w.Header().Set("Attempt-Id", id)
+			}))
+			defer srv.Close()
+			g := newGate(t, srv.Listener.Addr().String(), 1)
+			g.SetPolicy(tt.policy)
+			var wg sync.WaitGroup
+			for i, priority := range []int{0, 5, 1} {
+				a := attempt(i+1, false)
+				a.Prioritized, a.Priority, a.Arrived = true, priority, time.Now()
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					_, err := g.Do(context.Background(), a)
+					is.NoErr(err)
+				}()
+				for g.Outstanding() < i+1 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			close(first)
+			wg.Wait()
+			is.Equal(order, tt.want)
+		})
+	}
+}
