Admission by cost: slots owed at half of the share of all, shorter times to return

Cause: where urgent work alone exceeds the capacity, the next priority got more loss than the promise asks for; clients were told to stay away for up to a third of the time left, which left them few tries within their patience.

--- a/admission/fairness.go
+++ b/admission/fairness.go
@@ -10,7 +10,7 @@
 	shortMemory    = 8 * time.Second        // time constant of what was offered and started lately
 	longMemory     = 60 * time.Second       // time constant of the usual demand
 	maxTallies     = 1024                   // maximum number of keys of one tracker
-	owedRatio      = 0.3                    // ratio of the share of requests started to that of all requests, below which a key is owed a slot
+	owedRatio      = 0.5                    // ratio of the share of requests started to that of all requests, below which a key is owed a slot
 	underuseRatio  = 0.5                    // ratio of what a caller used to its share, below which its requests go before others
 	overuseRatio   = 1.1                    // the same, from which they go after others
 	minUsual       = 8                      // requests that are added to the usual demand of a caller
--- a/admission/retryafter.go
+++ b/admission/retryafter.go
@@ -12,7 +12,7 @@
 	refusalsOfOne   = 3   // gates that typically refuse the same request before its caller is told
 	minReturnSpread = 0.7 // smallest factor by which the time is varied
 	returnSpread    = 0.6 // range of the factors by which the time is varied
-	minCapSpread    = 0.6 // the same for the maximum of the time, of which the factors are at most 1
+	minCapSpread    = 0.3 // the same for the maximum of the time
 	capSpread       = 0.4
 	priorityCount   = maxPriority + 1
 )
