--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -86,7 +86,11 @@
 }
 
 // Class is a class of requests of one service.
-type Class struct{ spec ClassSpec }
+type Class struct {
+	spec   ClassSpec
+	public bool // a public route leads to the class
+	keyed  bool // a route that needs a key leads to the class
+}
 
 // Service returns the name of the service that the class belongs to.
 func (c *Class) Service() string { return c.spec.Service }
@@ -109,6 +113,9 @@
 // Objective returns the target response time of the class, or 0 if there is none.
 func (c *Class) Objective() time.Duration { return c.spec.Objective.Std() }
 
+// Public reports whether all routes that lead to the class are public.
+func (c *Class) Public() bool { return c.public && !c.keyed }
+
 // Spill reports whether requests of the class may be sent to another region when their own region lacks capacity.
 func (c *Class) Spill() bool { return c.spec.Spill }
 
@@ -230,7 +237,7 @@
 	}
 	for _, c := range d.Classes {
 		if s := b.services[c.Service]; s != nil {
-			s.classes[c.Name] = &Class{c}
+			s.classes[c.Name] = &Class{spec: c}
 		}
 	}
 	b.compileCallers(d.Callers)
--- a/bundle/route.go
+++ b/bundle/route.go
@@ -95,6 +95,7 @@
 	r := &Route{spec: spec}
 	addTarget := func(service, class string, weight float64) {
 		s := b.services[service]
+		s.classes[class].addRoute(spec.Public)
 		r.targets = append(r.targets, splitTarget{Match{Service: s, Class: s.classes[class], Route: r}, weight})
 		r.totalWeight += weight
 	}
@@ -109,6 +110,15 @@
 	return r
 }
 
+// addRoute records that a route leads to the class.
+func (c *Class) addRoute(public bool) {
+	if public {
+		c.public = true
+	} else {
+		c.keyed = true
+	}
+}
+
 // Route returns the match for a request: the route with the longest path prefix that ends at a segment boundary. For a split route it
 // returns the first target. It returns false if no route matches.
 func (b *Bundle) Route(host, method, path string) (Match, bool) {
