Package limit runs the limits of callers; node only joins them

A node that has heard from no other one creates no bucket, since it would start without the reserve; after 10 s alone it takes itself for the only one.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
 DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./platform ./quota ./retry ./rollout ./routing
-PLAIN = ./caller ./idempotency ./setting ./tcp ./upstream
+PLAIN = ./caller ./idempotency ./limit ./setting ./tcp ./upstream
 
 # The ownership tests run without the race detector, which makes them 10 times slower; the code under test starts no goroutines.
 test:
@@ -51,4 +51,4 @@
 # Measures the decision code, for docs/CAPACITY.md.
 capacity:
 	mkdir -p docs/capacity
-	go test ./admission ./outlier ./routing ./bundle ./membership -run '^$$' -bench . -benchmem > docs/capacity/bench.txt
+	go test ./admission ./outlier ./routing ./bundle ./membership ./quota -run '^$$' -bench . -benchmem > docs/capacity/bench.txt
--- a/node/directory.go
+++ b/node/directory.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/quota"
 	"github.com/pkg/errors"
 )
 
@@ -56,7 +57,7 @@
 	}
 	var seeds []string
 	for _, c := range contacts {
-		n.limits.learnMember(time.Now(), c.Name)
+		n.limits.Fleet(func(f *quota.Fleet) { f.Learn(time.Now(), c.Name) })
 		if c.Name != self.Name {
 			seeds = append(seeds, c.Address)
 			continue
--- a/node/members.go
+++ b/node/members.go
@@ -9,6 +9,7 @@
 	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
+	"github.com/jasminevane/jasminevane/quota"
 )
 
 // Timeouts of control messages and limits of the log.
@@ -161,12 +162,12 @@
 		n.mu.Unlock()
 		if known {
 			update.add(n, n.view.replace(m), m)
-			n.limits.setMember(time.Now(), m)
+			n.limits.Fleet(func(f *quota.Fleet) { f.Update(time.Now(), m.Name, quotaStatuses[m.Status]) })
 		}
 	}
 	for _, name := range output.Removed {
 		update.add(n, n.view.remove(name), membership.Member{Name: name, Status: membership.Left})
-		n.limits.removeMember(time.Now(), name)
+		n.limits.Fleet(func(f *quota.Fleet) { f.Remove(time.Now(), name) })
 	}
 	if !n.protocols.hasConfigSource() {
 		n.updateOwnership()
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/idempotency"
+	"github.com/jasminevane/jasminevane/limit"
 	"github.com/jasminevane/jasminevane/membership"
 	"github.com/jasminevane/jasminevane/ownership"
 	"github.com/jasminevane/jasminevane/peer"
@@ -69,7 +70,8 @@
 	servicesMu   sync.Mutex
 	keys         keyStore
 	unresponsive unresponsiveNodes
-	limits       rateLimits
+	limits       *limit.Limits
+	link         linkLimit
 	startedAt    time.Time
 	stalls       stallDetector // used by reportStall only
 	recall       recall
@@ -138,7 +140,7 @@
 	n.services.Store(&map[string]*serviceState{})
 	n.gates.byID = make(map[string]*upstream.Gate)
 	n.gates.announcedSuspect = make(map[*upstream.Gate]bool)
-	n.limits.init(now, &n.cfg)
+	n.limits = n.newLimits(now)
 	return n, nil
 }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/jasminevane/jasminevane/bundle"
 	"github.com/jasminevane/jasminevane/keyring"
 	"github.com/jasminevane/jasminevane/node"
@@ -137,6 +138,7 @@
 	t           *testing.T
 	platformLog *memoryLog
 	signingKey  keyring.Secret
+	logger      log.Logger // of all nodes; nil for none
 }
 
 func newTestFleet(t *testing.T) *testFleet {
@@ -167,7 +169,7 @@
 	if problems := cfg.Check(); len(problems) > 0 {
 		f.t.Fatal(problems)
 	}
-	n, err := node.New(cfg, node.Options{Log: f.platformLog})
+	n, err := node.New(cfg, node.Options{Log: f.platformLog, Logger: f.logger})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
+	"github.com/jasminevane/jasminevane/limit"
 	"github.com/jasminevane/jasminevane/membership"
 	"github.com/pkg/errors"
 )
@@ -106,7 +107,7 @@
 func (n *Node) startLoops(ctx context.Context) {
 	n.runEvery(ctx, membershipTickInterval, n.tickMembership)
 	n.runEvery(ctx, gaugeUpdateInterval, n.updateEjectedGauge)
-	n.runEvery(ctx, limitTickInterval, n.tickLimits)
+	n.runEvery(ctx, limit.TickInterval, n.tickLimits)
 	n.runEvery(ctx, gateSweepInterval, func(ctx context.Context, now time.Time) {
 		n.reportStall(now)
 		n.sweepGates(ctx, now)
--- a/node/serve.go
+++ b/node/serve.go
@@ -46,7 +46,7 @@
 func (n *Node) Serve(ctx context.Context, r *caller.Request) (*upstream.Response, error) {
 	resp, err := n.forward(ctx, r)
 	if notRun(err) {
-		n.returnToken(r.Caller)
+		n.limits.Return(r.Caller)
 	}
 	return resp, err
 }
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -38,17 +38,26 @@
 
 // Relay returns the name of the node to which an Ask is passed on, or an empty string if this node answers it.
 func (a *Allocator) Relay(now time.Time, ask Ask) string {
-	to := a.fleet.place(ask.Caller, places{}).allocator
-	if b := a.buckets[ask.Caller]; b != nil {
-		a.place(ask.Caller, b)
-		to = b.places.allocator
+	if ask.Relayed {
+		return ""
 	}
-	if ask.Relayed || to == a.fleet.self || to == ask.Node || a.fleet.silent(now, to) {
+	to := a.allocator(ask.Caller)
+	if to == a.fleet.self || to == ask.Node || a.fleet.silent(now, to) {
 		return ""
 	}
 	return to
 }
 
+// allocator returns the name of the caller's allocator.
+func (a *Allocator) allocator(caller string) string {
+	b := a.buckets[caller]
+	if b == nil {
+		return a.fleet.Allocator(caller)
+	}
+	a.place(caller, b)
+	return b.places.allocator
+}
+
 // Relayed records whether the allocator answered an Ask that was passed on to it.
 func (a *Allocator) Relayed(now time.Time, ask Ask, to string, answered bool) {
 	if !answered {
@@ -66,6 +75,9 @@
 		return Grant{Tokens: ask.Wanted}
 	}
 	a.noticePause(now)
+	if a.fleet.share == 0 && ask.Used <= 0 {
+		return Grant{RetryAfter: unansweredTime} // a bucket that is created now would start without the reserve
+	}
 	b := a.bucket(now, ask.Caller, limit)
 	if b.places.allocator != a.fleet.self || now.Before(b.heldUntil) {
 		b.standIn(now)
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -15,6 +15,8 @@
 	rememberTime = 2 * time.Minute
 	// handoverTime is the time within which all nodes know of one that leaves.
 	handoverTime = 500 * time.Millisecond
+	// lonelyTime is the time after the start from which a node that has heard from no other one takes itself for the only one.
+	lonelyTime = 10 * time.Second
 	// silentTime is the time for which a node that didn't answer is not asked again.
 	silentTime = 500 * time.Millisecond
 )
@@ -45,6 +47,7 @@
 // Fleet is the fleet as one node sees it. It chooses the allocator of a caller and its stand-in.
 type Fleet struct {
 	self     string
+	startAt  time.Time
 	members  map[string]*member
 	complete bool // the node has heard from another one, or there is none
 	version  uint64
@@ -56,7 +59,7 @@
 
 // NewFleet returns the view of a node that knows only itself.
 func NewFleet(now time.Time, self string) *Fleet {
-	f := &Fleet{self: self, members: make(map[string]*member)}
+	f := &Fleet{self: self, startAt: now, members: make(map[string]*member)}
 	f.Update(now, self, Live)
 	return f
 }
@@ -85,6 +88,9 @@
 
 // Remove removes a node that is no longer known.
 func (f *Fleet) Remove(now time.Time, name string) {
+	if name == f.self {
+		return
+	}
 	delete(f.members, name)
 	f.version++
 	f.count(now)
@@ -123,6 +129,9 @@
 
 // recount counts the nodes anew if the last count is old: dead nodes are forgotten in time.
 func (f *Fleet) recount(now time.Time) {
+	if now.Sub(f.startAt) > lonelyTime {
+		f.Complete(now)
+	}
 	if now.Sub(f.countAt) >= time.Second {
 		f.count(now)
 	}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -20,7 +20,6 @@
 	Ask   Ask
 	Limit Limit
 	sent  time.Time
-	late  bool
 }
 
 // Output is what the node has to do after an input.
@@ -34,7 +33,6 @@
 	fleet    *Fleet
 	accounts map[string]*account
 	tickets  uint64
-	sweptAt  time.Time
 }
 
 // NewLimiter returns a limiter of a node with the given view.
@@ -183,7 +181,6 @@
 	if a == nil || a.call != c {
 		return Output{}
 	}
-	c.late = true
 	return l.askNext(now, c, a)
 }
 
