--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -241,6 +242,7 @@
 			delete(l.accounts, caller)
 		}
 	}
+	slices.SortFunc(calls, func(a, b *Call) int { return strings.Compare(a.Ask.Caller, b.Ask.Caller) })
 	return calls
 }
 
