--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -25,6 +25,7 @@
 	policy   Policy
 	services map[string]*Service
 	callers  map[string]*Caller
+	limited  int                    // number of callers that have a rate limit
 	keys     map[keyDigest]*Caller  // callers by the digests of their keys
 	teams    map[string][]string    // signers by team
 	hosts    map[string]*hostRoutes // by host name
--- a/bundle/caller.go
+++ b/bundle/caller.go
@@ -51,6 +51,9 @@
 	return digest, nil
 }
 
+// LimitedCallers returns the number of callers that have a rate limit.
+func (b *Bundle) LimitedCallers() int { return b.limited }
+
 // HasKeys reports whether any caller has a key, so that requests must carry one.
 func (b *Bundle) HasKeys() bool { return len(b.keys) > 0 }
 
@@ -72,6 +75,9 @@
 		spec.Keys = nil // the table has them
 		c := &Caller{spec}
 		b.callers[spec.Name] = c
+		if c.Limited() {
+			b.limited++
+		}
 		for _, text := range keys {
 			if digest, err := parseKeyDigest(text); err == nil {
 				b.keys[digest] = c
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -214,6 +214,7 @@
 	n.bundle.Store(newBundle)
 	n.updateServiceStates(newBundle)
 	n.keys.setRetention(newBundle.Policy().KeyRetention())
+	n.limits.SetCallers(time.Now(), newBundle.LimitedCallers())
 	n.setLinkLimit(newBundle.Policy().MaxLinkBytesPerSecond())
 	for _, gate := range n.gates.all() {
 		n.configureGate(gate, newBundle)
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -38,17 +38,26 @@
 
 // Relay returns the name of the node to which an Ask is passed on, or an empty string if this node answers it.
 func (a *Allocator) Relay(now time.Time, ask Ask) string {
-	to := a.fleet.place(ask.Caller, places{}).allocator
-	if b := a.buckets[ask.Caller]; b != nil {
-		a.place(ask.Caller, b)
-		to = b.places.allocator
+	if ask.Relayed {
+		return ""
 	}
-	if ask.Relayed || to == a.fleet.self || to == ask.Node || a.fleet.silent(now, to) {
+	to := a.allocator(ask.Caller)
+	if to == a.fleet.self || to == ask.Node || a.fleet.silent(now, to) {
 		return ""
 	}
 	return to
 }
 
+// allocator returns the name of the caller's allocator.
+func (a *Allocator) allocator(caller string) string {
+	b := a.buckets[caller]
+	if b == nil {
+		return a.fleet.Allocator(caller)
+	}
+	a.place(caller, b)
+	return b.places.allocator
+}
+
 // Relayed records whether the allocator answered an Ask that was passed on to it.
 func (a *Allocator) Relayed(now time.Time, ask Ask, to string, answered bool) {
 	if !answered {
@@ -66,6 +75,9 @@
 		return Grant{Tokens: ask.Wanted}
 	}
 	a.noticePause(now)
+	if a.fleet.share == 0 && ask.Used <= 0 {
+		return Grant{RetryAfter: unansweredTime} // a bucket that is created now would start without the reserve
+	}
 	b := a.bucket(now, ask.Caller, limit)
 	if b.places.allocator != a.fleet.self || now.Before(b.heldUntil) {
 		b.standIn(now)
@@ -82,6 +94,9 @@
 	return g
 }
 
+// Reassign empties the buckets to the reserve after a change of the shards: nodes that don't know of it yet ask the former allocators.
+func (a *Allocator) Reassign(now time.Time) { a.reset(now, detectionTime) }
+
 // Tick fills the buckets and deletes those that are as a new one would be. It must be called several times a second.
 func (a *Allocator) Tick(now time.Time) {
 	a.noticePause(now)
@@ -102,7 +117,12 @@
 	if !paused {
 		return
 	}
-	a.resetAt, a.heldUntil = now, now.Add(wakeHold)
+	a.reset(now, wakeHold)
+}
+
+// reset empties the buckets to the reserve, which they have until hold has passed.
+func (a *Allocator) reset(now time.Time, hold time.Duration) {
+	a.resetAt, a.heldUntil = now, now.Add(hold)
 	for _, b := range a.buckets {
 		b.tokens = min(b.tokens, a.rule.reserve(b.limit).capacity)
 		b.refilledAt = now
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -15,10 +15,15 @@
 	rememberTime = 2 * time.Minute
 	// handoverTime is the time within which all nodes know of one that leaves.
 	handoverTime = 500 * time.Millisecond
+	// lonelyTime is the time after the start from which a node that has heard from no other one takes itself for the only one.
+	lonelyTime = 10 * time.Second
 	// silentTime is the time for which a node that didn't answer is not asked again.
 	silentTime = 500 * time.Millisecond
 )
 
+// callersPerShard is the minimum number of callers of a shard, if there are more shards than one.
+const callersPerShard = 16
+
 // Status is the state of another node in the view of this one.
 type Status int
 
@@ -45,8 +50,10 @@
 // Fleet is the fleet as one node sees it. It chooses the allocator of a caller and its stand-in.
 type Fleet struct {
 	self     string
+	startAt  time.Time
 	members  map[string]*member
-	complete bool // the node has heard from another one, or there is none
+	shards   uint64 // number of groups of callers that share an allocator, a power of two; 0 while their number is unknown
+	complete bool   // the node has heard from another one, or there is none
 	version  uint64
 	share    float64   // live nodes as a share of the known ones
 	known    int       // live nodes, and dead ones that may run beyond a cut
@@ -56,7 +63,7 @@
 
 // NewFleet returns the view of a node that knows only itself.
 func NewFleet(now time.Time, self string) *Fleet {
-	f := &Fleet{self: self, members: make(map[string]*member)}
+	f := &Fleet{self: self, startAt: now, members: make(map[string]*member)}
 	f.Update(now, self, Live)
 	return f
 }
@@ -76,6 +83,33 @@
 	f.count(now)
 }
 
+// SetCallers sets the number of callers that have a limit, from which the number of shards follows, and reports whether callers moved to other
+// nodes thereby. Callers of one shard share an allocator, so that the connections to it stay in use.
+func (f *Fleet) SetCallers(n int) (moved bool) {
+	shards := uint64(1)
+	for 2*shards*callersPerShard <= uint64(max(0, n)) {
+		shards *= 2
+	}
+	if shards == f.shards {
+		return false
+	}
+	moved = f.shards > 0
+	f.shards = shards
+	f.version++
+	return moved
+}
+
+// shardHash returns the hash of the shard of a caller. Each caller is a shard of its own while their number is unknown.
+func (f *Fleet) shardHash(caller string) uint64 {
+	hash := xxhash.Sum64String(caller)
+	if f.shards == 0 {
+		return hash
+	}
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], hash%f.shards)
+	return xxhash.Sum64(b[:])
+}
+
 // Learn adds a node that has registered but that this node has not met.
 func (f *Fleet) Learn(now time.Time, name string) {
 	if f.members[name] == nil {
@@ -85,6 +119,9 @@
 
 // Remove removes a node that is no longer known.
 func (f *Fleet) Remove(now time.Time, name string) {
+	if name == f.self {
+		return
+	}
 	delete(f.members, name)
 	f.version++
 	f.count(now)
@@ -123,6 +160,9 @@
 
 // recount counts the nodes anew if the last count is old: dead nodes are forgotten in time.
 func (f *Fleet) recount(now time.Time) {
+	if now.Sub(f.startAt) > lonelyTime {
+		f.Complete(now)
+	}
 	if now.Sub(f.countAt) >= time.Second {
 		f.count(now)
 	}
@@ -163,12 +203,12 @@
 	}
 	p := places{version: f.version}
 	var first, second uint64
-	callerHash := xxhash.Sum64String(caller)
+	shardHash := f.shardHash(caller)
 	for name, m := range f.members {
 		if m.status != Live {
 			continue
 		}
-		weight := m.weight(callerHash)
+		weight := m.weight(shardHash)
 		switch {
 		case p.allocator == "" || weight > first:
 			second, p.standIn = first, p.allocator
@@ -183,10 +223,10 @@
 	return p
 }
 
-// weight returns the weight of the node for a caller; the live node with the highest one is the allocator.
-func (m *member) weight(callerHash uint64) uint64 {
+// weight returns the weight of the node for a shard; the live node with the highest one is the allocator.
+func (m *member) weight(shardHash uint64) uint64 {
 	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], callerHash)
+	binary.LittleEndian.PutUint64(b[:], shardHash)
 	binary.LittleEndian.PutUint64(b[8:], m.hash)
 	return xxhash.Sum64(b[:])
 }
@@ -194,10 +234,10 @@
 // takeover returns when this node became the allocator of a caller because a node before it died or left, and until when that node
 // may still grant tokens. Both are zero if no node is before it.
 func (f *Fleet) takeover(caller string) (since, heldUntil time.Time) {
-	callerHash := xxhash.Sum64String(caller)
-	own := f.members[f.self].weight(callerHash)
+	shardHash := f.shardHash(caller)
+	own := f.members[f.self].weight(shardHash)
 	for _, m := range f.members {
-		if m.status == Live || m.weight(callerHash) <= own {
+		if m.status == Live || m.weight(shardHash) <= own {
 			continue
 		}
 		hold := detectionTime
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -20,7 +21,6 @@
 	Ask   Ask
 	Limit Limit
 	sent  time.Time
-	late  bool
 }
 
 // Output is what the node has to do after an input.
@@ -34,7 +34,6 @@
 	fleet    *Fleet
 	accounts map[string]*account
 	tickets  uint64
-	sweptAt  time.Time
 }
 
 // NewLimiter returns a limiter of a node with the given view.
@@ -183,7 +182,6 @@
 	if a == nil || a.call != c {
 		return Output{}
 	}
-	c.late = true
 	return l.askNext(now, c, a)
 }
 
@@ -244,6 +242,7 @@
 			delete(l.accounts, caller)
 		}
 	}
+	slices.SortFunc(calls, func(a, b *Call) int { return strings.Compare(a.Ask.Caller, b.Ask.Caller) })
 	return calls
 }
 
