--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -5,7 +5,7 @@
 // Parameters of the buckets.
 const (
 	startHold        = 2 * time.Second        // time after the start of a node within which others may not know of it
-	wakeHold         = 500 * time.Millisecond // time after a pause within which nodes still ask the stand-in
+	resumeHold       = 500 * time.Millisecond // time after a pause within which nodes still ask the stand-in
 	pauseTime        = time.Second            // time without a call after which a node counts as having been paused
 	askerTime        = 2 * time.Second        // time for which a node that asked is expected to ask again
 	standInGap       = time.Second            // time without an Ask after which a node no longer counts as standing in
@@ -114,7 +114,7 @@
 	if !paused {
 		return
 	}
-	a.resetAt, a.heldUntil = now, now.Add(wakeHold)
+	a.resetAt, a.heldUntil = now, now.Add(resumeHold)
 	for _, b := range a.buckets {
 		b.tokens = min(b.tokens, a.rule.reserve(b.limit).capacity)
 		b.refilledAt = now
--- a/quota/fleet.go
+++ b/quota/fleet.go
@@ -15,8 +15,8 @@
 	rememberTime = 2 * time.Minute
 	// handoverTime is the time within which all nodes know of one that leaves.
 	handoverTime = 500 * time.Millisecond
-	// lonelyTime is the time after the start from which a node that has heard from no other one takes itself for the only one.
-	lonelyTime = 10 * time.Second
+	// soleNodeTime is the time after the start from which a node that has heard from no other one takes itself for the only one.
+	soleNodeTime = 10 * time.Second
 	// silentTime is the time for which a node that didn't answer is not asked again.
 	silentTime = 500 * time.Millisecond
 )
@@ -129,7 +129,7 @@
 
 // recount counts the nodes anew if the last count is old: dead nodes are forgotten in time.
 func (f *Fleet) recount(now time.Time) {
-	if now.Sub(f.startAt) > lonelyTime {
+	if now.Sub(f.startAt) > soleNodeTime {
 		f.Complete(now)
 	}
 	if now.Sub(f.countAt) >= time.Second {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -116,7 +116,7 @@
 	for _, ticket := range a.queue {
 		d := Unanswered
 		if a.takeOwn(now, l.fleet.part(1)) {
-			d = Share
+			d = OwnShare
 		}
 		out = append(out, verdict(now, caller, a, ticket, d))
 	}
--- a/quota/verdict.go
+++ b/quota/verdict.go
@@ -14,14 +14,14 @@
 	Unlimited  Decision = "unlimited"  // the caller has no limit
 	Granted    Decision = "granted"    // admitted with a token
 	Allowed    Decision = "allowance"  // admitted with an allowance
-	Share      Decision = "own-share"  // admitted with the node's own share, since no node answered
+	OwnShare   Decision = "own-share"  // admitted with the node's own share, since no node answered
 	Limited    Decision = "limited"    // refused: no token
 	Unanswered Decision = "unanswered" // refused: no node answered in time
 )
 
 // Admitted reports whether the request may run.
 func (d Decision) Admitted() bool {
-	return d == Unlimited || d == Granted || d == Allowed || d == Share
+	return d == Unlimited || d == Granted || d == Allowed || d == OwnShare
 }
 
 // Verdict is the decision on one request.
