--- a/limit/limits.go
+++ b/limit/limits.go
@@ -14,7 +14,7 @@
 const (
 	maxWait       = 160 * time.Millisecond // of a request
 	waitPart      = 8                      // a request waits at most this part of the objective of its class
-	askPatience   = 75 * time.Millisecond  // time without an answer after which another node is asked
+	askPatience   = maxWait / 2            // time without an answer after which another node is asked
 	relayPatience = 50 * time.Millisecond  // the same for a node that passes a call on
 	askTimeout    = 400 * time.Millisecond
 )
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -5,7 +5,7 @@
 // Parameters of the buckets.
 const (
 	startHold        = 2 * time.Second        // time after the start of a node within which others may not know of it
-	wakeHold         = 500 * time.Millisecond // time after a pause within which nodes still ask the stand-in
+	resumeHold       = 500 * time.Millisecond // time after a pause within which nodes still ask the stand-in
 	pauseTime        = time.Second            // time without a call after which a node counts as having been paused
 	askerTime        = 2 * time.Second        // time for which a node that asked is expected to ask again
 	standInGap       = time.Second            // time without an Ask after which a node no longer counts as standing in
@@ -117,7 +117,7 @@
 	if !paused {
 		return
 	}
-	a.reset(now, wakeHold)
+	a.reset(now, resumeHold)
 }
 
 // reset empties the buckets to the reserve, which they have until hold has passed.
