Era of the log service: what a node remembers of a store that was restored from a copy is dropped or written again

Cause: a store that returns from a copy gives its offsets out again and has lost what nodes wrote since. A reader waited at its old offset and missed versions, contacts were not written again, so that nodes which started later found nobody, and acknowledged departures were lost.

Change: the client reports the era of each answer (header Store-Era) and refuses answers of a former era and calls that span two. Positions of the operator's stream carry their era. On a higher era, of which heartbeats tell, too, each node writes its contact and its departures again, spread over a second. A record of departures says in which era and with which epoch it was written, and whether it is complete; without that, a process that starts doesn't take a restored directory for proof.

--- a/node/departure.go
+++ b/node/departure.go
@@ -73,6 +73,12 @@
 	return n.recall.complete() || time.Since(n.startedAt) >= recallTimeout
 }
 
+// settled reports whether the node knows all departures that its earlier processes acknowledged, or has run for so long that it will hear of
+// no other.
+func (n *Node) settled() bool {
+	return n.recall.complete() || time.Since(n.startedAt) >= longRunning*time.Millisecond
+}
+
 // announceAfterRecall applies an announcement once it may be taken. The roster rejects it if a later one or a departure came meanwhile.
 func (n *Node) announceAfterRecall(announcement upstream.Announcement) {
 	ctx, cancel := context.WithDeadline(context.Background(), n.startedAt.Add(recallTimeout))
--- a/node/departure_model_test.go
+++ b/node/departure_model_test.go
@@ -133,9 +133,9 @@
 		m.recall(p, m.directory)
 		p.recall.readDirectory()
 	}
-	if list, version, changed := p.log.due(); changed == nil {
-		m.directory = list
-		p.log.setRecorded(version)
+	if record, version, changed := p.log.due(); changed == nil {
+		m.directory = record.Departures
+		p.log.setRecorded(version, 0)
 	}
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,38 +11,83 @@
 	"github.com/pkg/errors"
 )
 
-// pruneDelay is how long after joining a node removes stale contacts, which are those of nodes that are unknown, dead or gone.
-const pruneDelay = time.Minute
+// Timing of the writes to the directory.
+const (
+	pruneDelay  = time.Minute // time after joining until a node removes stale contacts, which are those of nodes that are unknown, dead or gone
+	renewSpread = time.Second // time over which the nodes spread their writes after the directory was restored from a copy
+)
 
-// join reads the contacts of other nodes from the directory, registers the contact of this node and, after pruneDelay, removes
-// stale contacts.
+// join registers the contact of this node, reads the contacts of other nodes from the directory and, after pruneDelay, removes stale
+// contacts. In each later era of the directory it registers the contact again.
 func (n *Node) join(ctx context.Context) {
+	contacts, era, ok := n.registerUntilDone(ctx)
+	if !ok {
+		return
+	}
+	n.spawn(func() { n.renewRecords(ctx, era) })
+	n.sleep(ctx, pruneDelay)
+	n.pruneContacts(ctx, contacts)
+}
+
+// registerUntilDone registers the contact of this node and reads the directory, until both succeed; ok is false if ctx ends before.
+func (n *Node) registerUntilDone(ctx context.Context) (contacts []platform.Contact, era uint64, ok bool) {
 	var b backoff
 	for ctx.Err() == nil {
 		start := time.Now()
-		contacts, err := n.registerContact(ctx)
+		contacts, era, err := n.registerContact(ctx)
 		if ctx.Err() != nil {
-			return
+			break
 		}
 		if err == nil {
-			n.sleep(ctx, pruneDelay)
-			n.pruneContacts(ctx, contacts)
-			return
+			return contacts, era, true
 		}
 		n.recall.failDirectory()
 		_ = level.Warn(n.logger).Log("msg", "directory away", "err", err)
 		n.sleep(ctx, b.next(time.Since(start)))
 	}
+	return nil, 0, false
+}
+
+// renewRecords writes what the directory is to have of this node again in each era after the given one, until ctx ends.
+func (n *Node) renewRecords(ctx context.Context, era uint64) {
+	for {
+		n.spawnRenewDepartures(ctx, era)
+		newest, ok := n.protocols.logClient.AwaitEra(ctx, era)
+		if !ok {
+			return
+		}
+		n.recordEra(era, newest)
+		n.sleep(ctx, rand.N(renewSpread))
+		if _, era, ok = n.registerUntilDone(ctx); !ok {
+			return
+		}
+	}
+}
+
+// spawnRenewDepartures records the departures of this node in the era, and once more when the node knows those of its earlier processes.
+func (n *Node) spawnRenewDepartures(ctx context.Context, era uint64) {
+	if era == 0 {
+		return
+	}
+	n.spawn(func() {
+		n.departureLog.renew(era, n.gates.departed(time.Now()), n.settled())
+		n.waitUntil(ctx, n.settled)
+		if ctx.Err() == nil {
+			n.departureLog.renew(era, n.gates.departed(time.Now()), true)
+		}
+	})
 }
 
 // registerContact registers the contact of this node and then reads the directory: if two nodes start at the same time, at least one
-// of them sees the other.
-func (n *Node) registerContact(ctx context.Context) ([]platform.Contact, error) {
+// of them sees the other. It returns the era that holds the contact.
+func (n *Node) registerContact(ctx context.Context) ([]platform.Contact, uint64, error) {
 	self := platform.Contact{Name: n.cfg.Name, Address: n.listeners.peer.Addr().String()}
-	if err := n.protocols.directory.Register(ctx, self); err != nil {
-		return nil, errors.Wrap(err, "register contact")
+	era, err := n.protocols.directory.Register(ctx, self)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "register contact")
 	}
-	return n.loadSeeds(ctx, self)
+	contacts, err := n.loadSeeds(ctx, self)
+	return contacts, era, err
 }
 
 // loadSeeds reads the directory, applies the departures that earlier processes of this node recorded there, and sets the contacts of the other
@@ -55,11 +101,14 @@
 		_ = level.Warn(n.logger).Log("msg", "contact refused", "err", e)
 	}
 	var seeds []string
+	complete := n.protocols.logClient.Era() == 0 // whether the directory has all departures of this node
 	for _, c := range contacts {
 		if c.Name != self.Name {
 			seeds = append(seeds, c.Address)
 			continue
 		}
+		complete = !c.Incomplete
+		n.departureLog.nextEpoch(c.Epoch)
 		n.recallDepartures(c.Departures, "directory")
 	}
 	n.mu.Lock()
@@ -68,7 +117,11 @@
 	if len(seeds) == 0 {
 		n.recall.hearNobody() // there is nobody to hear from
 	}
-	n.recall.readDirectory()
+	if complete {
+		n.recall.readDirectory()
+	} else {
+		n.recall.failDirectory()
+	}
 	_ = level.Info(n.logger).Log("msg", "directory read", "contacts", len(contacts))
 	return contacts, nil
 }
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -220,7 +220,11 @@
 // logPositions returns the node's next read position in each stream; the caller holds n.mu.
 func (n *Node) logPositions() []peer.Position {
 	if n.protocols.hasConfigSource() {
-		return []peer.Position{{Stream: publishedStream, Next: platform.Offset(n.rollout.Version())}}
+		positions := []peer.Position{{Stream: publishedStream, Next: platform.Offset(n.rollout.Version())}}
+		if p, ok := n.eraPosition(); ok {
+			positions = append(positions, p)
+		}
+		return positions
 	}
 	return []peer.Position{
 		{Stream: rollout.Stream, Next: n.tailCaches[rollout.Stream].Next()},
@@ -251,6 +255,7 @@
 // applyHeartbeatLog applies the log entries of a heartbeat from another node.
 // If the other node has read further in a stream, the missing entries are fetched from it.
 func (n *Node) applyHeartbeatLog(heartbeat peer.Heartbeat, address string) {
+	n.observeEra(heartbeat.Positions)
 	for _, stream := range []string{rollout.Stream, ownership.Stream} {
 		var entries []platform.Entry
 		for _, entry := range heartbeat.Entries {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -27,6 +27,7 @@
 	ownedShards      prometheus.Gauge
 	logServiceUp     prometheus.Gauge
 	versionReads     *prometheus.CounterVec
+	eraChanges       prometheus.Counter
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
 }
@@ -62,10 +63,11 @@
 		versionReads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "jasmine", Name: "version_reads_total", Help: "Reads of the published versions by result: news, none or failed.",
 		}, []string{"result"}),
+		eraChanges:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "store_era_changes_total", Help: "Restorations of the platform's log service from a copy of which this node has learned."}),
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
+	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/protocols.go
+++ b/node/protocols.go
@@ -15,13 +15,14 @@
 	platformProtocols = "store"
 )
 
-// protocols holds the protocols that a node uses with callers, upstreams and the platform. With defaultProtocols, configSource
-// and directory are nil.
+// protocols holds the protocols that a node uses with callers, upstreams and the platform. With defaultProtocols, configSource,
+// directory and logClient are nil.
 type protocols struct {
 	caller       caller.Dialect
 	upstream     upstream.Dialect
 	configSource *platform.ConfigSource
 	directory    *platform.Directory
+	logClient    *platform.Client // of configSource and directory
 }
 
 func newProtocols(cfg Settings, logDial tcp.DialFunc) protocols {
@@ -35,6 +36,7 @@
 		upstream:     platform.UpstreamDialect(),
 		configSource: platform.NewConfigSource(logClient, policy),
 		directory:    platform.NewDirectory(logClient),
+		logClient:    logClient,
 	}
 }
 
--- a/node/versions.go
+++ b/node/versions.go
@@ -9,7 +9,6 @@
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/platform"
 	"github.com/jasminevane/jasminevane/rollout"
-	"github.com/pkg/errors"
 )
 
 // Timing of reads of the bundle versions that the operator publishes.
@@ -38,7 +37,7 @@
 // followVersions reads the published versions whenever this node is to read them, until ctx ends.
 func (n *Node) followVersions(ctx context.Context) {
 	var b backoff
-	var next platform.Offset
+	var next platform.Cursor
 	started := false // whether next is known
 	for n.awaitReading(ctx) {
 		if started {
@@ -47,7 +46,7 @@
 		}
 		sentAt, answerTime := n.recordNewestSent()
 		readCtx, cancel := context.WithTimeout(ctx, answerTime)
-		versions, offset, rejected, err := n.protocols.configSource.Newest(readCtx)
+		versions, position, rejected, err := n.protocols.configSource.Newest(readCtx)
 		cancel()
 		if ctx.Err() != nil {
 			continue
@@ -56,7 +55,7 @@
 		if !n.callSucceeded(ctx, err, sentAt, &b) {
 			continue
 		}
-		next, started = offset, true
+		next, started = position, true
 		n.applyVersions(versions, rejected)
 	}
 }
@@ -83,8 +82,8 @@
 	return readerTick
 }
 
-// readVersions reads the versions from the offset next on, waits for the first, and moves next. It returns false if the log lacks records there.
-func (n *Node) readVersions(ctx context.Context, next *platform.Offset, b *backoff) bool {
+// readVersions reads the versions from next on, waits for the first, and moves next. It returns false if next means nothing in the log.
+func (n *Node) readVersions(ctx context.Context, next *platform.Cursor, b *backoff) bool {
 	sentAt := time.Now()
 	n.mu.Lock()
 	hold, answerTime := n.versionReader.Hold(sentAt), n.versionReader.AnswerTime()
@@ -96,8 +95,8 @@
 	if ctx.Err() != nil {
 		return true
 	}
-	n.recordRead(versionRead{from: *next, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
-	if errors.Is(err, platform.ErrGap) {
+	n.recordRead(versionRead{from: next.Offset, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
+	if platform.LostPosition(err) {
 		n.recordReadFailed()
 		n.sleep(ctx, batchDelay/2+rand.N(batchDelay/2))
 		return false
