Own protocols: a restored log is read from its beginning, and accepted versions and given-out epochs stay

Cause: a log that was restored from a copy gives its offsets out again. Nodes went on at their old offsets, took entries of peers for those at the same offsets, and a log that has lost claims could give an epoch of a shard out a second time.

Change: pages and positions carry the era. Entries, positions and fetches between nodes of two eras are ignored.

--- a/node/fetch.go
+++ b/node/fetch.go
@@ -63,10 +63,10 @@
 	if took := time.Since(start); err != nil || took > slowFetch {
 		_ = level.Warn(n.logger).Log("msg", "fetch slow or failed", "from", f.Name, "took", took, "err", err)
 	}
-	if err == nil {
+	if err == nil && n.observeEra(positions) {
 		n.adoptState(missing)
 		for _, e := range missing.Entries {
-			n.applyEntries(e.Stream, []platform.Entry{e.Entry})
+			n.applyEntries(e.Stream, eraOf(positions), []platform.Entry{e.Entry})
 		}
 	}
 	n.mu.Lock()
@@ -106,6 +106,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var missing peer.FetchResponse
+	if !n.protocols.hasConfigSource() && eraOf(positions) != n.logEra {
+		return missing // offsets of another era mean nothing here
+	}
 	for _, position := range positions {
 		if position.Stream == publishedStream && n.rollout.Version() > uint64(position.Next) {
 			n.addWholeState(&missing, position.Stream)
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -83,18 +83,19 @@
 // readPage reads and applies one page of the stream and reports whether more pages may follow.
 func (n *Node) readPage(ctx context.Context, stream string, maxWait time.Duration) (bool, error) {
 	n.mu.Lock()
-	offset := n.tailCaches[stream].Next()
+	offset, era := n.tailCaches[stream].Next(), n.logEra
 	n.mu.Unlock()
 	page, err := n.logService.Read(ctx, stream, offset, maxWait)
-	if err != nil {
-		return false, err
+	usable, err := n.checkPage(stream, offset, era, page, err)
+	if !usable {
+		return err == nil, err
 	}
 	n.mu.Lock()
 	if page.FirstOffset > n.tailCaches[stream].Next() {
 		n.skipExpiredRecords(stream, page)
 	}
 	n.mu.Unlock()
-	n.applyEntries(stream, page.Entries)
+	n.applyEntries(stream, page.Era, page.Entries)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	morePages := n.tailCaches[stream].Next() < page.Next
@@ -125,14 +126,14 @@
 	return newest
 }
 
-// applyEntries applies the entries of a stream that are new to this node and pushes them to the neighbours.
-func (n *Node) applyEntries(stream string, entries []platform.Entry) {
+// applyEntries applies the entries of a stream that are new to this node, unless they are of another era, and pushes them to the neighbours.
+func (n *Node) applyEntries(stream string, era uint64, entries []platform.Entry) {
 	if len(entries) == 0 {
 		return
 	}
 	n.mu.Lock()
 	cache := n.tailCaches[stream]
-	if cache == nil {
+	if cache == nil || era != n.logEra {
 		n.mu.Unlock()
 		return
 	}
@@ -217,19 +218,15 @@
 	n.updateAllServices()
 }
 
-// logPositions returns the node's next read position in each stream; the caller holds n.mu.
+// logPositions returns the node's next read position in each stream, and the era of these; the caller holds n.mu.
 func (n *Node) logPositions() []peer.Position {
 	if n.protocols.hasConfigSource() {
-		positions := []peer.Position{{Stream: publishedStream, Next: platform.Offset(n.rollout.Version())}}
-		if p, ok := n.eraPosition(); ok {
-			positions = append(positions, p)
-		}
-		return positions
+		return n.withEra([]peer.Position{{Stream: publishedStream, Next: platform.Offset(n.rollout.Version())}})
 	}
-	return []peer.Position{
+	return n.withEra([]peer.Position{
 		{Stream: rollout.Stream, Next: n.tailCaches[rollout.Stream].Next()},
 		{Stream: ownership.Stream, Next: n.tailCaches[ownership.Stream].Next()},
-	}
+	})
 }
 
 // entriesAfter returns the entries from the given positions on, limited to maxPushBytes of data; the caller holds n.mu.
@@ -255,7 +252,9 @@
 // applyHeartbeatLog applies the log entries of a heartbeat from another node.
 // If the other node has read further in a stream, the missing entries are fetched from it.
 func (n *Node) applyHeartbeatLog(heartbeat peer.Heartbeat, address string) {
-	n.observeEra(heartbeat.Positions)
+	if !n.observeEra(heartbeat.Positions) {
+		return
+	}
 	for _, stream := range []string{rollout.Stream, ownership.Stream} {
 		var entries []platform.Entry
 		for _, entry := range heartbeat.Entries {
@@ -263,7 +262,7 @@
 				entries = append(entries, entry.Entry)
 			}
 		}
-		n.applyEntries(stream, entries)
+		n.applyEntries(stream, eraOf(heartbeat.Positions), entries)
 	}
 	name := heartbeat.Message.Name
 	n.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,8 @@
 	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
 	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
 	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
+	owedSnapshots  map[string]bool                       // streams that get a snapshot soon, since the log was restored from a copy
+	logEra         uint64                                // newest known era of the log service; with the own protocols only
 	logServiceDown bool                                  // whether the last call to the log service failed
 	catchUp        rollout.CatchUp                       // from which nodes missing state is fetched
 	fetchCancels   map[*rollout.Fetch]context.CancelFunc // cancel functions of the running fetches
@@ -128,6 +130,7 @@
 	n.tailCaches = map[string]*platform.TailCache{rollout.Stream: {}, ownership.Stream: {}}
 	n.peerPositions = make(map[string][]peer.Position)
 	n.fetchCancels = make(map[*rollout.Fetch]context.CancelFunc)
+	n.owedSnapshots = make(map[string]bool)
 	n.lastSnapshotAt = map[string]time.Time{rollout.Stream: now, ownership.Stream: now}
 	n.keys.ledger = idempotency.NewLedger(idempotency.Limits{
 		MaxKeys:          cfg.Limits.Keys,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,7 @@
 	mu              sync.Mutex
 	entriesByStream map[string][]platform.Entry
 	firstOffset     map[string]platform.Offset
+	era             uint64 // number of restorations from a copy
 }
 
 func newMemoryLog() *memoryLog {
@@ -85,7 +87,11 @@
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		l.mu.Lock()
 		entries := l.entriesByStream[stream]
-		page := platform.Page{FirstOffset: l.firstOffset[stream], Next: platform.Offset(len(entries))}
+		page := platform.Page{FirstOffset: l.firstOffset[stream], Next: platform.Offset(len(entries)), Era: l.era}
+		if fromOffset > page.Next {
+			l.mu.Unlock()
+			return platform.Page{Era: page.Era}, platform.ErrGap
+		}
 		if fromOffset = max(fromOffset, page.FirstOffset); fromOffset < page.Next {
 			page.Entries = append(page.Entries, entries[fromOffset:]...)
 		}
@@ -96,6 +102,25 @@
 	}
 }
 
+// copyEntries returns a copy of all streams, for restore.
+func (l *memoryLog) copyEntries() map[string][]platform.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	streams := make(map[string][]platform.Entry)
+	for stream, entries := range l.entriesByStream {
+		streams[stream] = slices.Clone(entries)
+	}
+	return streams
+}
+
+// restore replaces all streams by those of a copy, and raises the era.
+func (l *memoryLog) restore(streams map[string][]platform.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entriesByStream = streams
+	l.era++
+}
+
 // expire makes all records before the newest snapshot of the stream expire, and reports whether any did.
 func (l *memoryLog) expire(stream string) bool {
 	l.mu.Lock()
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -24,20 +24,25 @@
 		return
 	}
 	for _, stream := range []string{rollout.Stream, ownership.Stream} {
-		n.mu.Lock()
-		due := n.lastSnapshotAt[stream].Add(n.cfg.Platform.Snapshot.Std())
-		empty := n.tailCaches[stream].Next() == 0
-		logDown := n.logServiceDown
-		if !empty && !logDown && now.After(due) {
-			n.lastSnapshotAt[stream] = now.Add(-time.Duration(rand.Int64N(int64(n.cfg.Platform.Snapshot)/2 + 1)))
-		}
-		n.mu.Unlock()
-		if !empty && !logDown && now.After(due) {
+		if n.snapshotDue(stream, now) {
 			n.appendSnapshot(ctx, stream)
 		}
 	}
 }
 
+// snapshotDue reports whether a snapshot of the stream is due, and sets when the next one will be.
+func (n *Node) snapshotDue(stream string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	owed := n.owedSnapshots[stream]
+	empty := n.tailCaches[stream].Next() == 0 && !owed
+	if empty || n.logServiceDown || !owed && !now.After(n.lastSnapshotAt[stream].Add(n.cfg.Platform.Snapshot.Std())) {
+		return false
+	}
+	n.lastSnapshotAt[stream] = now.Add(-time.Duration(rand.Int64N(int64(n.cfg.Platform.Snapshot)/2 + 1)))
+	return true
+}
+
 // recordSnapshots records the time of the newest snapshot among the entries of the stream. The caller holds n.mu.
 func (n *Node) recordSnapshots(stream string, entries []platform.Entry) {
 	for _, e := range entries {
@@ -54,7 +59,11 @@
 	}
 	if err != nil {
 		_ = level.Warn(n.logger).Log("msg", "cannot append snapshot", "stream", stream, "err", err)
+		return
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.owedSnapshots, stream)
 }
 
 func (n *Node) newSnapshot(stream string) (platform.Record, error) {
--- a/ownership/engine.go
+++ b/ownership/engine.go
@@ -133,12 +133,21 @@
 // Table returns a copy of the ownership table, for a snapshot or for a node that is starting.
 func (e *Engine) Table() *Table { return e.table.clone() }
 
-// Adopt replaces the ownership table with t, from another node or a snapshot, if t is newer. It reports whether it did.
+// Rewind makes the engine read the log from its beginning, since the log was restored from a copy. The assignments stay: an epoch that was
+// given out is never given out again, also if the log has lost it.
+func (e *Engine) Rewind() {
+	e.table.Next = 0
+	e.caughtUpAt = time.Time{}
+}
+
+// Adopt replaces the ownership table with t, from another node or a snapshot, if t is newer. It reports whether it did. Assignments of later
+// epochs than those in t stay, which the log may have lost.
 func (e *Engine) Adopt(now time.Time, t *Table) bool {
 	if t == nil || t.Next <= e.table.Next || len(t.Assignments) != ShardCount {
 		return false
 	}
-	e.table = t.clone()
+	e.table.raise(t)
+	e.table.Next = t.Next
 	for s := range e.table.Assignments {
 		e.reconcile(now, s, Claim{})
 	}
--- a/ownership/table.go
+++ b/ownership/table.go
@@ -73,16 +73,19 @@
 
 func newTable() *Table { return &Table{Assignments: make([]Assignment, ShardCount)} }
 
-// apply applies one log entry. It returns the claim of the entry and the shards for which the claim was accepted.
+// apply applies one log entry. It returns the claim of the entry and the shards whose assignment changed.
 func (t *Table) apply(e platform.Entry) (claim Claim, changed []int) {
 	if e.Offset < t.Next {
 		return Claim{}, nil
 	}
 	t.Next = e.Offset + 1
 	claim, err := platform.Decode[Claim](e.Record)
-	if err != nil || claim.Kind == TableSnapshot {
+	if err != nil {
 		return Claim{}, nil
 	}
+	if claim.Kind == TableSnapshot {
+		return Claim{}, t.raise(claim.Table)
+	}
 	for _, s := range claim.Shards {
 		if s.Shard < 0 || s.Shard >= ShardCount || t.Assignments[s.Shard].Epoch != s.PrevEpoch {
 			continue // an earlier claim in the log already replaced this epoch
@@ -93,6 +96,21 @@
 	return claim, changed
 }
 
+// raise takes over the assignments of later epochs from another table, and returns their shards. A snapshot in the log has later epochs
+// than the entries before it only after the log was restored from a copy.
+func (t *Table) raise(other *Table) (changed []int) {
+	if other == nil || len(other.Assignments) != ShardCount {
+		return nil
+	}
+	for s, assignment := range other.Assignments {
+		if assignment.Epoch > t.Assignments[s].Epoch {
+			t.Assignments[s] = assignment
+			changed = append(changed, s)
+		}
+	}
+	return changed
+}
+
 func (t *Table) clone() *Table { return &Table{Next: t.Next, Assignments: slices.Clone(t.Assignments)} }
 
 // Node is a live node of the fleet's membership.
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -85,6 +85,13 @@
 // Next returns the offset of the first log entry not yet applied.
 func (e *Engine) Next() platform.Offset { return e.nextOffset }
 
+// Rewind makes the engine read the log from its beginning, since the log was restored from a copy. The accepted versions stay. Open proposals
+// and results are dropped: the log has them, or nobody knows them.
+func (e *Engine) Rewind() {
+	e.nextOffset = 0
+	e.setOpenProposals(nil)
+}
+
 // OpenProposals returns the open proposals, oldest first.
 func (e *Engine) OpenProposals() []Step {
 	proposals := make([]Step, 0, len(e.openProposalIDs))
--- a/rollout/engine_test.go
+++ b/rollout/engine_test.go
@@ -258,3 +258,36 @@
 	is.Equal(results[1].Text, "version 1 was won by c1 of ana")
 	is.Equal(rollout.ConflictingKeys(winner, loser), []string{"caller/x"})
 }
+
+// TestRewoundEngineKeepsTheAcceptedVersion guards against an engine that goes back with a log that was restored from a copy, that misses what
+// gets its offsets again, or that keeps proposals which the log has lost.
+func TestRewoundEngineKeepsTheAcceptedVersion(t *testing.T) {
+	is := is.New(t)
+	o := newOperators(t)
+	e, reference := rollout.New("a", o.ring), rollout.New("a", o.ring)
+	var l memoryLog
+	l.roll(t, newStep(e, "c1", parse(t, bundleText("")), nil, o.keys[:2]...))
+	l.applyAll(e)
+	copied := memoryLog{entries: l.entries[:len(l.entries):len(l.entries)]}
+	second := newStep(e, "c2", parse(t, bundleText(caller("x", 5))), nil, o.keys[:2]...)
+	l.roll(t, second)
+	l.applyAll(e)
+	open := newStep(e, "c3", parse(t, bundleText(caller("x", 6))), nil, o.keys[:2]...)
+	l.add(t, rollout.Record{Kind: rollout.Propose, ID: open.ID, Step: &open})
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(2))
+
+	l = copied
+	e.Rewind()
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(2))
+	is.Equal(len(e.OpenProposals()), 0)
+	l.add(t, rollout.Record{Kind: rollout.Roll, ID: open.ID}) // of a proposal that the log has lost
+	l.roll(t, second)                                         // written again by the operator
+	l.roll(t, newStep(e, "c4", parse(t, bundleText(caller("x", 7))), nil, o.keys[:2]...))
+	l.applyAll(e)
+	l.applyAll(reference) // which has read nothing but the restored log
+	is.Equal(e.Version(), uint64(3))
+	is.Equal(reference.Version(), uint64(3))
+	is.Equal(e.InForce().Digest(), reference.InForce().Digest())
+}
