Soak: the store returns from a copy

Change: the fake store makes and restores copies, raises its era and refuses offsets beyond the end with 410. Half of the seeds draw restorations, apart from their other faults, which stay the same. After the last fault the store must hold again the contact of each node and each departure that it held before, and a node that starts must find all others.

--- a/jasminelab/fakelog/handler.go
+++ b/jasminelab/fakelog/handler.go
@@ -19,6 +19,12 @@
 func (l *Log) Handler() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
+	e.Use(func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			setEra(c, l.Era())
+			return next(c)
+		}
+	})
 	e.POST("/v1/log-append", l.handleAppend)
 	e.GET("/v1/log-read", l.handleRead)
 	e.GET("/v1/log-newest", l.handleNewest)
@@ -35,6 +41,13 @@
 	return e
 }
 
+// setEra sets the header that tells the era to which the response belongs; it is absent before the first restoration.
+func setEra(c echo.Context, era uint64) {
+	if era > 0 {
+		c.Response().Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
+}
+
 func clientHost(c echo.Context) string {
 	ip, _, err := net.SplitHostPort(c.Request().RemoteAddr)
 	if err != nil {
@@ -69,14 +82,15 @@
 	if err != nil {
 		return err
 	}
-	offset, end, err := l.append(c.Request().Context(), clientHost(c), c.QueryParam("topic"), c.QueryParam("part"), records, cond)
+	result, err := l.append(c.Request().Context(), clientHost(c), c.QueryParam("topic"), c.QueryParam("part"), records, cond)
 	if err != nil {
 		return writeError(c, err)
 	}
+	setEra(c, result.era)
 	return c.JSON(http.StatusOK, struct {
 		Offset uint64 `json:"offset"`
 		End    uint64 `json:"end_offset"`
-	}{offset, end})
+	}{result.offset, result.end})
 }
 
 func parseCondition(c echo.Context) (condition, error) {
@@ -131,6 +145,7 @@
 	if err != nil {
 		return writeError(c, err)
 	}
+	setEra(c, p.era)
 	if !ok {
 		return c.JSON(http.StatusGone, struct {
 			First uint64 `json:"first_offset"`
@@ -158,6 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
+	setEra(c, l.era)
 	p := l.partition(c.QueryParam("topic"), c.QueryParam("part"))
 	items := []newestRecord{}
 	hasMore := false
--- a/jasminelab/fakelog/log.go
+++ b/jasminelab/fakelog/log.go
@@ -62,6 +62,7 @@
 type Log struct {
 	mu              sync.Mutex
 	partitions      map[string]*partition // by TOPIC/PARTITION
+	era             uint64                // number of restorations from a copy
 	faults          Faults
 	retention       time.Duration // time for which records are kept; 0 for ever
 	limiter         *rate.Limiter // limits the rate of appends
@@ -219,34 +220,37 @@
 }
 
 // append appends either all of the records or none.
-func (l *Log) append(ctx context.Context, client, topic, partitionName string, records [][]byte, c condition) (offset, end uint64, err error) {
+func (l *Log) append(ctx context.Context, client, topic, partitionName string, records [][]byte, c condition) (appended, error) {
 	if err := l.injectFaults(ctx, client); err != nil {
-		return 0, 0, err
+		return appended{}, err
 	}
 	if !l.limiter.Allow() {
-		return 0, 0, errRateLimited
+		return appended{}, errRateLimited
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p := l.partition(topic, partitionName)
 	if past, err := p.checkCondition(c); err != nil || past != nil {
 		if past != nil {
-			return past.offset, past.end, nil
+			return appended{offset: past.offset, end: past.end, era: l.era}, nil
 		}
-		return 0, 0, err
+		return appended{}, err
 	}
 	responseLost := l.rng.Float64() < l.faults.LostResponseShare
 	if responseLost && l.faults.LostAppendDelay > 0 {
-		time.AfterFunc(l.faults.LostAppendDelay, func() { l.applyLate(p, records, c) })
-		return 0, 0, errResponseLost
+		time.AfterFunc(l.faults.LostAppendDelay, func() { l.applyLate(topic, partitionName, records, c) })
+		return appended{}, errResponseLost
 	}
-	offset = l.apply(p, records, c)
+	offset := l.apply(p, records, c)
 	if responseLost {
-		return 0, 0, errResponseLost
+		return appended{}, errResponseLost
 	}
-	return offset, p.end(), nil
+	return appended{offset: offset, end: p.end(), era: l.era}, nil
 }
 
+// appended is the result of one append.
+type appended struct{ offset, end, era uint64 }
+
 // apply adds the records, records the append for deduplication and returns the first offset. The caller must hold the lock of the log.
 func (l *Log) apply(p *partition, records [][]byte, c condition) uint64 {
 	now := time.Now()
@@ -263,10 +267,11 @@
 	return offset
 }
 
-// applyLate applies an append after its client has received an error, if the condition still holds.
-func (l *Log) applyLate(p *partition, records [][]byte, c condition) {
+// applyLate applies an append after its client has received an error, if the condition still holds. It may have been sent in an earlier era.
+func (l *Log) applyLate(topic, partitionName string, records [][]byte, c condition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	p := l.partition(topic, partitionName)
 	if past, err := p.checkCondition(c); past == nil && err == nil {
 		l.apply(p, records, c)
 	}
@@ -311,11 +316,12 @@
 // page is the result of one read.
 type page struct {
 	firstOffset, end uint64
+	era              uint64
 	records          []record
 }
 
 // read returns the records from an offset on. If there are none, it waits for a new record, but no longer than wait.
-// It reports false if the records at the offset have been deleted.
+// It reports false if the partition does not have the offset.
 func (l *Log) read(ctx context.Context, client, topic, partitionName string, from uint64, maxBytes int, wait time.Duration) (p page, ok bool, err error) {
 	if err := l.injectFaults(ctx, client); err != nil {
 		return page{}, false, err
@@ -341,14 +347,14 @@
 }
 
 // page returns the records from an offset on, limited to maxBytes but including at least the first, and a channel that the next
-// append closes. It reports false if the records at the offset have been deleted.
+// append closes. It reports false if the partition does not have the offset: its record has been deleted, or it is beyond the end.
 func (l *Log) page(topic, partitionName string, from uint64, maxBytes int) (page, <-chan struct{}, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reads++
 	p := l.partition(topic, partitionName)
-	result := page{firstOffset: p.firstOffset, end: p.end()}
-	if from < p.firstOffset {
+	result := page{firstOffset: p.firstOffset, end: p.end(), era: l.era}
+	if from < p.firstOffset || from > p.end() {
 		return result, nil, false
 	}
 	for _, r := range p.records[min(len(p.records), int(from-p.firstOffset)):] {
--- a/jasminelab/soak/injector.go
+++ b/jasminelab/soak/injector.go
@@ -40,6 +40,8 @@
 	claimed          map[string]bool // names of the nodes that a step has claimed
 	storeFaults      fakelog.Faults  // current faults of the store
 	replacementCount int             // number of replacement servers started so far
+	lastKillAll      time.Time       // when all nodes were killed last
+	lost             []lostRecords   // what restorations of the store removed
 	wg               sync.WaitGroup
 }
 
@@ -79,6 +81,8 @@
 		inj.injectStoreFault(ctx, s)
 	case storeCut:
 		inj.cutStoreLink(ctx, s)
+	case storeBack:
+		inj.restoreStore(ctx, s)
 	case storeTrims:
 		inj.fleet.Log.TrimAll(fleet.OperatorTopic)
 	case configure:
@@ -154,6 +158,9 @@
 		defer inj.faultTracker.begin(name)()
 		killed = append(killed, n)
 	}
+	inj.mu.Lock()
+	inj.lastKillAll = time.Now()
+	inj.mu.Unlock()
 	for _, n := range killed {
 		n.Kill()
 	}
--- a/jasminelab/soak/plan.go
+++ b/jasminelab/soak/plan.go
@@ -25,6 +25,7 @@
 	storeSlow   Kind = "store-slow"   // all calls to the store are delayed
 	storeLoses  Kind = "store-loses"  // responses to some appends are lost, and these appends take effect late
 	storeCut    Kind = "store-cut"    // one node can't reach the store
+	storeBack   Kind = "store-back"   // the store is away for a moment and returns from a copy, which the operator completes after another moment
 	storeTrims  Kind = "store-trims"  // the records of the operator's topic are deleted, except for the newest value of each key
 	configure   Kind = "configure"    // configuration versions are published in quick succession
 	storm       Kind = "storm"        // configuration versions are published at short intervals for the whole duration
@@ -34,7 +35,9 @@
 	badReload   Kind = "bad-reload"   // an invalid settings file, then a valid one, each with or without a signal
 )
 
-var allKinds = []Kind{
+// drawnKinds are the kinds among which the faults of bursts are drawn. Restorations of the store are drawn apart, so that a seed keeps its
+// other faults.
+var drawnKinds = []Kind{
 	stopNode, killNode, pauseNode, killAll, cutOneWay, silence, resetLinks, silentConns, slowLinks, storeDown, storeSilent, storeSlow,
 	storeLoses, storeCut, storeTrims, configure, storm, drainServer, crashServer, sickServer, badReload,
 }
@@ -56,6 +59,8 @@
 	maxExtraFaults = 3                       // maximum number of faults in a burst besides the first
 	meanBurstGap   = 1500 * time.Millisecond // mean time between the starts of bursts
 	killAllShare   = 0.3                     // share of the drawn kill-all steps that are kept
+	restoredShare  = 0.5                     // share of the seeds with restorations of the store
+	meanRestoreGap = 4 * time.Second         // mean time between restorations of the store
 )
 
 // DrawSteps returns the random steps for the seed in the order of their starts. All steps end before span plus burstSpan.
@@ -65,7 +70,7 @@
 	for at := meanBurstGap / 2; at < span-maxDuration; at += time.Duration(rnd.ExpFloat64() * float64(meanBurstGap)) {
 		for range 1 + rnd.IntN(maxExtraFaults+1) {
 			s := Step{
-				At: at + time.Duration(rnd.Int64N(int64(burstSpan))), Kind: allKinds[rnd.IntN(len(allKinds))],
+				At: at + time.Duration(rnd.Int64N(int64(burstSpan))), Kind: drawnKinds[rnd.IntN(len(drawnKinds))],
 				Duration:    minDuration + time.Duration(rnd.Int64N(int64(maxDuration-minDuration))),
 				TargetIndex: rnd.IntN(nodes), BetweenDataCentres: rnd.IntN(3) == 0, Variant: rnd.IntN(1 << 16),
 			}
@@ -80,6 +85,22 @@
 			steps = append(steps, s)
 		}
 	}
+	steps = append(steps, drawRestorations(seed, span)...)
 	sort.SliceStable(steps, func(i, j int) bool { return steps[i].At < steps[j].At })
 	return steps
 }
+
+// drawRestorations returns the restorations of the store for the seed. The duration of a step is the age of the copy.
+func drawRestorations(seed uint64, span time.Duration) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 12))
+	if rnd.Float64() >= restoredShare {
+		return nil
+	}
+	var steps []Step
+	for at := time.Duration(0); at < span-maxDuration; at += time.Duration(rnd.ExpFloat64() * float64(meanRestoreGap)) {
+		at += time.Duration(rnd.Int64N(int64(burstSpan)))
+		duration := minDuration + time.Duration(rnd.Int64N(int64(maxDuration-minDuration)))
+		steps = append(steps, Step{At: at, Kind: storeBack, Duration: duration, PeerIndex: 1, Variant: rnd.IntN(1 << 16)})
+	}
+	return steps
+}
--- a/jasminelab/soak/prober.go
+++ b/jasminelab/soak/prober.go
@@ -58,6 +58,13 @@
 	return nil
 }
 
+// publishAgain writes the newest version to the store once more.
+func (p *versionProber) publishAgain(f *fleet.Fleet) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return f.Configure(f.Deployment.Configuration(uint64(len(p.publishedAt))))
+}
+
 // run repeatedly probes a random node for one of the newest three versions until ctx ends.
 func (p *versionProber) run(ctx context.Context, f *fleet.Fleet, rnd *rand.Rand) {
 	for ctx.Err() == nil {
--- a/jasminelab/soak/soak.go
+++ b/jasminelab/soak/soak.go
@@ -49,6 +49,7 @@
 type Report struct {
 	Seed             uint64
 	Steps            int           // number of steps drawn
+	Restorations     int           // number of restorations of the store
 	Requests         int           // number of recorded requests
 	Served           int           // requests that got a complete response
 	CanceledRequests int           // idempotent requests that their callers canceled early
@@ -122,6 +123,8 @@
 	r.checkRecovery(faultsEnded.Add(maxRecoveryTime))
 	r.checkDrains()
 	r.checkCancellation()
+	r.checkRestorations(ctx, inj)
+	r.report.Restorations = len(inj.lost)
 	r.report.VersionProbes = prober.probeCount
 }
 
--- a/jasminelab/soak/soak_test.go
+++ b/jasminelab/soak/soak_test.go
@@ -12,12 +12,12 @@
 func TestDrawIsDeterministicAndInBounds(t *testing.T) {
 	is := is.New(t)
 	const span, nodes, dataCentres = 15 * time.Second, 8, 4
-	drawnKinds := make(map[Kind]bool)
+	kinds := make(map[Kind]bool)
 	for seed := range uint64(60) {
 		steps := DrawSteps(seed, span, nodes, dataCentres)
 		is.Equal(steps, DrawSteps(seed, span, nodes, dataCentres))
 		for i, s := range steps {
-			drawnKinds[s.Kind] = true
+			kinds[s.Kind] = true
 			is.True(s.At+s.Duration <= span+burstSpan)
 			is.True(s.TargetIndex != s.PeerIndex)
 			is.True(i == 0 || steps[i-1].At <= s.At)
@@ -26,7 +26,7 @@
 			}
 		}
 	}
-	is.Equal(len(drawnKinds), len(allKinds)) // every kind is drawn
+	is.Equal(len(kinds), len(drawnKinds)+1) // every kind is drawn, and restorations of the store
 }
 
 func TestVersionProberCheckResponse(t *testing.T) {
