--- a/node/admin.go
+++ b/node/admin.go
@@ -178,22 +178,30 @@
 	if rec.Signature != nil {
 		id += "-" + rec.Signature.Signer
 	}
-	entry, err := platform.Encode(id, rec)
+	entries, err := rollout.Encode(id, rec)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), submitTimeout)
 	defer cancel()
+	var last platform.Offset
+	for _, entry := range entries {
+		if last, err = n.appendRetrying(ctx, entry); err != nil {
+			return err
+		}
+	}
+	return n.awaitRead(ctx, last)
+}
+
+// appendRetrying appends an entry to the rollout stream. The rollout engine applies an entry only once, so an append with an unknown outcome
+// is retried.
+func (n *Node) appendRetrying(ctx context.Context, entry platform.Record) (platform.Offset, error) {
 	for attempt := 0; ; attempt++ {
 		offset, err := n.logService.Append(ctx, rollout.Stream, entry)
-		if err == nil {
-			return n.awaitRead(ctx, offset)
-		}
 		var unknown *platform.UnknownError
-		if !errors.As(err, &unknown) || attempt >= submitRetries {
-			return err
+		if err == nil || !errors.As(err, &unknown) || attempt >= submitRetries {
+			return offset, err
 		}
-		// The rollout engine applies a record ID only once, so an append with an unknown outcome can be retried.
 	}
 }
 
--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -53,9 +53,11 @@
 }
 
 func (n *Node) appendSnapshot(ctx context.Context, stream string) {
-	snapshot, err := n.newSnapshot(stream)
-	if err == nil {
-		_, err = n.logService.Append(ctx, stream, snapshot)
+	records, err := n.newSnapshot(stream)
+	for _, rec := range records {
+		if err == nil {
+			_, err = n.logService.Append(ctx, stream, rec)
+		}
 	}
 	if err != nil {
 		_ = level.Warn(n.logger).Log("msg", "cannot append snapshot", "stream", stream, "err", err)
@@ -66,13 +68,15 @@
 	delete(n.owedSnapshots, stream)
 }
 
-func (n *Node) newSnapshot(stream string) (platform.Record, error) {
+// newSnapshot returns the records of a snapshot of the stream. They are encoded without n.mu, which takes long for large bundles.
+func (n *Node) newSnapshot(stream string) ([]platform.Record, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	table, state := n.owners.Table(), n.rollout.State()
+	n.mu.Unlock()
 	id := snapshotPrefix + n.cfg.Name + "-" + time.Now().UTC().Format(time.RFC3339)
 	if stream == ownership.Stream {
-		return platform.Encode(id, ownership.Claim{Kind: ownership.TableSnapshot, Table: n.owners.Table()})
+		rec, err := platform.Encode(id, ownership.Claim{Kind: ownership.TableSnapshot, Table: table})
+		return []platform.Record{rec}, err
 	}
-	state := n.rollout.State()
-	return platform.Encode(id, rollout.Record{Kind: rollout.Snapshot, ID: id, State: &state})
+	return rollout.Encode(id, rollout.Record{Kind: rollout.Snapshot, ID: id, State: &state})
 }
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -58,6 +58,7 @@
 	openProposalIDs []string // IDs of the open proposals, oldest first
 	proposalResults []ProposalResult
 	nextOffset      platform.Offset
+	fragments       assembler
 
 	acceptsForwardedVersions bool // accept published versions that other nodes forward; see Publish
 	published                bool // the newest version was published by an authority outside the fleet
@@ -88,7 +89,7 @@
 // Rewind makes the engine read the log from its beginning, since the log was restored from a copy. The accepted versions stay. Open proposals
 // and results are dropped: the log has them, or nobody knows them.
 func (e *Engine) Rewind() {
-	e.nextOffset = 0
+	e.nextOffset, e.fragments = 0, assembler{}
 	e.setOpenProposals(nil)
 }
 
@@ -114,6 +115,21 @@
 	if err != nil {
 		return []Event{{ID: entry.ID, Result: Invalid, Text: err.Error()}}
 	}
+	if rec.Kind == Part {
+		whole, ok, err := e.fragments.add(rec, entry.Offset)
+		switch {
+		case err != nil:
+			return []Event{{ID: rec.ID, Result: Invalid, Text: err.Error()}}
+		case !ok:
+			return nil
+		}
+		rec = whole
+	}
+	return e.applyRecord(rec, entry.Offset)
+}
+
+// applyRecord applies the record of the entry at the offset, or the one that is complete with it.
+func (e *Engine) applyRecord(rec Record, offset platform.Offset) []Event {
 	switch rec.Kind {
 	case Propose:
 		return e.propose(rec)
@@ -122,7 +138,7 @@
 	case Roll:
 		return e.roll(rec)
 	case Snapshot:
-		return e.adoptSnapshot(rec, entry.Offset)
+		return e.adoptSnapshot(rec, offset)
 	}
 	return []Event{{ID: rec.ID, Result: Invalid, Text: fmt.Sprintf("unknown record kind %q", rec.Kind)}}
 }
@@ -277,7 +293,7 @@
 
 // State returns the state of the engine, for a snapshot or for a node that is starting.
 func (e *Engine) State() State {
-	st := State{Published: e.published, Head: e.lastStep, Entries: e.head.Entries(), Offset: uint64(e.nextOffset), OpenProposals: e.OpenProposals()}
+	st := State{Published: e.published, Head: e.lastStep, Entries: e.head.Entries(), Offset: uint64(e.fragments.firstOffset(e.nextOffset)), OpenProposals: e.OpenProposals()}
 	if e.previous != nil {
 		toPrevious := e.head.Diff(e.previous)
 		st.DeltaToPrevious = &toPrevious
@@ -343,7 +359,7 @@
 	}
 	e.head, e.lastStep, e.previous = head, st.Head, previous
 	e.history = []Step{st.Head}
-	e.nextOffset = platform.Offset(st.Offset)
+	e.nextOffset, e.fragments = platform.Offset(st.Offset), assembler{}
 	e.setOpenProposals(st.OpenProposals)
 	return true, nil
 }
--- a/rollout/step.go
+++ b/rollout/step.go
@@ -54,6 +54,7 @@
 	Approve  RecordKind = "approve"  // adds a signature to an open proposal
 	Roll     RecordKind = "roll"     // rolls out an open proposal if it has the required signatures
 	Snapshot RecordKind = "snapshot" // holds the whole state of an engine
+	Part     RecordKind = "part"     // holds a part of a record that is too large for one entry
 )
 
 // Record is a record that operators and nodes append to the log stream.
@@ -63,6 +64,7 @@
 	Step      *Step              `json:"step,omitempty"`
 	Signature *keyring.Signature `json:"signature,omitempty"`
 	State     *State             `json:"state,omitempty"`
+	Fragment  *Fragment          `json:"part,omitempty"`
 }
 
 // State is the state of an engine, as stored in snapshots and sent to nodes that are starting.
@@ -70,7 +72,7 @@
 	Head            Step           `json:"head"`
 	Entries         []bundle.Entry `json:"entries"`
 	DeltaToPrevious *bundle.Delta  `json:"back,omitempty"` // delta from the newest bundle to the one in force where the newest is not released yet
-	Offset          uint64         `json:"offset"`         // offset of the first log entry that the state does not include
+	Offset          uint64         `json:"offset"`         // offset of the first log entry that must be applied to the state
 	OpenProposals   []Step         `json:"open,omitempty"`
 
 	Published bool `json:"published,omitempty"` // Head was published by an authority outside the fleet and has no signatures
