--- a/node/snapshot.go
+++ b/node/snapshot.go
@@ -24,20 +24,25 @@
 		return
 	}
 	for _, stream := range []string{rollout.Stream, ownership.Stream} {
-		n.mu.Lock()
-		due := n.lastSnapshotAt[stream].Add(n.cfg.Platform.Snapshot.Std())
-		empty := n.tailCaches[stream].Next() == 0
-		logDown := n.logServiceDown
-		if !empty && !logDown && now.After(due) {
-			n.lastSnapshotAt[stream] = now.Add(-time.Duration(rand.Int64N(int64(n.cfg.Platform.Snapshot)/2 + 1)))
-		}
-		n.mu.Unlock()
-		if !empty && !logDown && now.After(due) {
+		if n.snapshotDue(stream, now) {
 			n.appendSnapshot(ctx, stream)
 		}
 	}
 }
 
+// snapshotDue reports whether a snapshot of the stream is due, and sets when the next one will be.
+func (n *Node) snapshotDue(stream string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	owed := n.owedSnapshots[stream]
+	empty := n.tailCaches[stream].Next() == 0 && !owed
+	if empty || n.logServiceDown || !owed && !now.After(n.lastSnapshotAt[stream].Add(n.cfg.Platform.Snapshot.Std())) {
+		return false
+	}
+	n.lastSnapshotAt[stream] = now.Add(-time.Duration(rand.Int64N(int64(n.cfg.Platform.Snapshot)/2 + 1)))
+	return true
+}
+
 // recordSnapshots records the time of the newest snapshot among the entries of the stream. The caller holds n.mu.
 func (n *Node) recordSnapshots(stream string, entries []platform.Entry) {
 	for _, e := range entries {
@@ -48,22 +53,30 @@
 }
 
 func (n *Node) appendSnapshot(ctx context.Context, stream string) {
-	snapshot, err := n.newSnapshot(stream)
-	if err == nil {
-		_, err = n.logService.Append(ctx, stream, snapshot)
+	records, err := n.newSnapshot(stream)
+	for _, rec := range records {
+		if err == nil {
+			_, err = n.logService.Append(ctx, stream, rec)
+		}
 	}
 	if err != nil {
 		_ = level.Warn(n.logger).Log("msg", "cannot append snapshot", "stream", stream, "err", err)
+		return
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.owedSnapshots, stream)
 }
 
-func (n *Node) newSnapshot(stream string) (platform.Record, error) {
+// newSnapshot returns the records of a snapshot of the stream. They are encoded without n.mu, which takes long for large bundles.
+func (n *Node) newSnapshot(stream string) ([]platform.Record, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	table, state := n.owners.Table(), n.rollout.State()
+	n.mu.Unlock()
 	id := snapshotPrefix + n.cfg.Name + "-" + time.Now().UTC().Format(time.RFC3339)
 	if stream == ownership.Stream {
-		return platform.Encode(id, ownership.Claim{Kind: ownership.TableSnapshot, Table: n.owners.Table()})
+		rec, err := platform.Encode(id, ownership.Claim{Kind: ownership.TableSnapshot, Table: table})
+		return []platform.Record{rec}, err
 	}
-	state := n.rollout.State()
-	return platform.Encode(id, rollout.Record{Kind: rollout.Snapshot, ID: id, State: &state})
+	return rollout.Encode(id, rollout.Record{Kind: rollout.Snapshot, ID: id, State: &state})
 }
