Malformed statuses: one with a not-run header is no refusal

A response of status 600 to 999 with the header that says that the request was not run was taken for a refusal: its caller got 503 with the outcome not-run, and the health of the upstream was not touched. The status is now checked before the header is believed, so that such a response is a broken one.

The new table has 15 statuses with 4 sets of headers, 3 framings, 2 paths and 2 kinds of route at the socket. On the code before, 48 of 720 cases failed, all of them 600 or 999 with the not-run header (503 instead of 502); 000, 099, 0, 1000, two digits, letters, signs and an empty status were refused already.

--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -68,8 +68,11 @@
 	return resp, nil
 }
 
-// rejection returns an error if the response says that the upstream did not start the request.
+// rejection returns an error if the response says that the upstream did not start the request. A response with a malformed status proves nothing.
 func (g *Gate) rejection(resp *http.Response) error {
+	if !validStatus(resp.StatusCode) {
+		return nil
+	}
 	reason := resp.Header.Get(g.dialect.NotRunHeader)
 	switch {
 	case resp.StatusCode == http.StatusMisdirectedRequest && g.dialect.InstanceHeader != "":
@@ -195,9 +198,12 @@
 	maxStatus = 599
 )
 
+// validStatus reports whether the status is one of a final response.
+func validStatus(status int) bool { return status >= minStatus && status <= maxStatus }
+
 // verify checks that the response is one to the attempt, and that a successful one has the required proof header.
 func (g *Gate) verify(a *Attempt, resp *http.Response) error {
-	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
+	if !validStatus(resp.StatusCode) {
 		return outcome.NewError(outcome.Unknown, outcome.CodeResponseMismatch, errors.Errorf("status %d is not one of a final response", resp.StatusCode))
 	}
 	if got, want := resp.Header.Get(g.dialect.AttemptHeader), g.attemptID(a); got != want {
