Large and slow bodies: bounds for the whole node, and no evidence from slow clients

Cause, each shown by a test that failed before: - 16 responses that nobody reads took the window (4 MiB) of the connection between two nodes, so that all others of that node stood still until their deadline. One upload that its upstream doesn't read did the same the other way (1 MiB of 1 MiB). - Responses being sent and bodies being received had no bound for the node. - A caller that stopped sending its body kept its request for as long as it stayed connected. - An upstream was suspected for responses that were slow because of their reader, and for bodies that came slowly.

Change: package stream decides which responses are ended beyond 32 MiB; upstream.Streams applies it. Bodies of callers beyond 32 MiB are refused as not run, and read until the deadline at most. Windows: 128 KiB a stream, 64 MiB a connection for responses, 4 MiB for requests. The time for which an upstream waits for a client is no part of its service time, silence or overdue responses.

--- a/caller/body.go
+++ b/caller/body.go
@@ -27,6 +27,9 @@
 		return &Body{}, nil
 	}
 	var buf bytes.Buffer
+	if length > 0 {
+		buf.Grow(int(min(length, maxReplayBodyBytes)) + bytes.MinRead)
+	}
 	_, err := io.CopyN(&buf, src, maxReplayBodyBytes)
 	switch {
 	case errors.Is(err, io.EOF):
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -38,13 +38,14 @@
 
 // Mount adds the handler of requests from callers to e. The limits hold unless the bundle in force sets others.
 func Mount(e *echo.Echo, d Dialect, f Fleet, l Limits) {
+	bodies := &uploads{}
 	e.RouteNotFound("/*", func(c echo.Context) error {
-		d.handle(f, c.Response().Writer, c.Request(), l)
+		d.handle(f, c.Response().Writer, c.Request(), l, bodies)
 		return nil
 	})
 }
 
-func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, l Limits) {
+func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, l Limits, bodies *uploads) {
 	start := time.Now()
 	bundleInForce := f.Bundle()
 	l = l.inForce(bundleInForce.Policy())
@@ -60,7 +61,12 @@
 		d.sendProblem(w, "", err)
 		return
 	}
-	resp, err := serve(f, r, l.Body)
+	if req.Body != nil && req.ContentLength != 0 {
+		body := newTimedBody(w, req.Body, r.Deadline)
+		defer body.end()
+		req.Body = body
+	}
+	resp, err := serve(f, r, l.Body, bodies)
 	if err == nil {
 		err = resp.ReadSmall()
 	}
@@ -108,7 +114,7 @@
 	return nil
 }
 
-func serve(f Fleet, r *Request, maxBody int64) (*upstream.Response, error) {
+func serve(f Fleet, r *Request, maxBody int64, bodies *uploads) (*upstream.Response, error) {
 	if r.HTTP.ContentLength > maxBody {
 		err := errors.Errorf("body has %d bytes, limit is %d", r.HTTP.ContentLength, maxBody)
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeTooLarge, err)
@@ -116,7 +122,11 @@
 	if err := f.Admit(r); err != nil {
 		return nil, unknownIfMayHaveRun(r, err)
 	}
-	var err error
+	release, err := bodies.take(r.HTTP.ContentLength)
+	defer release()
+	if err != nil {
+		return nil, unknownIfMayHaveRun(r, err)
+	}
 	if r.Body, err = ReadBody(r.HTTP.Body, r.HTTP.ContentLength); err != nil {
 		return nil, unknownIfMayHaveRun(r, err)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,7 @@
 	versionReads     *prometheus.CounterVec
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
+	endedStreams     prometheus.Counter
 }
 
 // newMetrics returns the metrics of a node. The request and attempt metrics carry the node's data centre as a label.
@@ -64,8 +65,9 @@
 		}, []string{"result"}),
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
+		endedStreams:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "ended_streams_total", Help: "Responses that were ended since their readers were too slow."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds,
+	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds, m.endedStreams,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	clock      event.Clock
 	events     *event.Ring
 	client     *peer.Client
+	streams    *upstream.Streams // bounds the responses that are being sent
 	logService platform.Log
 	metrics    *metrics
 	listeners  listeners
@@ -110,6 +111,8 @@
 	n.events = event.NewRing(cfg.Name, &n.clock, cfg.Limits.Events)
 	n.client = peer.NewClient(opt.Dial)
 	n.metrics = newMetrics(cfg.DataCentre)
+	n.streams = upstream.NewStreams(n.metrics.endedStreams.Inc)
+	n.client.Bound(n.streams)
 	n.requestLog = newRequestLogSampler()
 	self := membership.Member{
 		Name:        cfg.Name,
--- a/node/run.go
+++ b/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -45,10 +46,23 @@
 		server.ReadTimeout = nonStreamingIOTimeout
 		server.WriteTimeout = nonStreamingIOTimeout
 	}
-	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn}
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreamsPerConn,
+		MaxReadFrameSize:              maxFrameBytes,
+		MaxReceiveBufferPerStream:     maxUploadBytes,
+		MaxReceiveBufferPerConnection: maxUploadBytesOfConn,
+	}
 	return server
 }
 
+// Limits of the bodies that are received on one HTTP/2 connection and that nobody has read yet. One connection carries the requests and the
+// heartbeats of another node, so that many requests whose upstream doesn't read must leave room in its window.
+const (
+	maxFrameBytes        = 16 << 10 // frame of another node; it keeps a buffer of this size for each body that it sends
+	maxUploadBytes       = upstream.StreamWindowBytes
+	maxUploadBytesOfConn = 4<<20 - 1
+)
+
 // maxStreamsPerConn is the maximum number of concurrent requests on one HTTP/2 connection.
 const maxStreamsPerConn = 1000
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -135,6 +135,7 @@
 		return &upstream.Response{Load: load}, err
 	}
 	resp.Load = load
+	resp.Bound(n.streams)
 	return resp, nil
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -14,6 +14,7 @@
 	"github.com/jasminevane/jasminevane/peer/peerv1/peerv1connect"
 	"github.com/jasminevane/jasminevane/rollout"
 	"github.com/jasminevane/jasminevane/tcp"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -28,17 +29,18 @@
 // Limits in bytes of what a client keeps in memory of the responses of a node, which may be faulty.
 const (
 	maxHeadBytes         = 256 << 10 // head, informational responses or trailer of a response, in the size that HTTP/2 counts
-	maxUnreadBytes       = 256 << 10 // received body of one response that nobody has read yet
-	maxUnreadBytesOfNode = 4 << 20   // the same for all responses of a node
-	maxMessageBytes      = 2 << 20   // one control message, such as the records of 900 nodes
-	maxStateBytes        = 16 << 20  // what Fetch and Events return
+	maxUnreadBytes       = upstream.StreamWindowBytes
+	maxUnreadBytesOfNode = 64 << 20 // the same for all responses of a node; more than upstream.Streams lets all of them hold
+	maxMessageBytes      = 2 << 20  // one control message, such as the records of 900 nodes
+	maxStateBytes        = 16 << 20 // what Fetch and Events return
 )
 
 // Client calls other nodes.
 type Client struct {
-	dial  tcp.DialFunc
-	mu    sync.Mutex
-	conns map[string]*nodeConn
+	dial    tcp.DialFunc
+	streams *upstream.Streams // bounds the responses to forwarded requests; nil for no bound
+	mu      sync.Mutex
+	conns   map[string]*nodeConn
 }
 
 // nodeConn holds the transport to one node and the RPC clients that use it.
@@ -57,6 +59,9 @@
 	return &Client{dial: dial, conns: make(map[string]*nodeConn)}
 }
 
+// Bound makes the bounds of s hold for the responses to forwarded requests. It is called before the first one.
+func (c *Client) Bound(s *upstream.Streams) { c.streams = s }
+
 func (c *Client) newConn(address string) *nodeConn {
 	t := &http.Transport{
 		DialContext:        c.dial,
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -106,14 +106,16 @@
 			delete(resp.Header, k)
 		}
 	}
-	return &upstream.Response{
+	out := &upstream.Response{
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
 		Body:    &cancelBody{ReadCloser: resp.Body, cancel: cancel},
 		Length:  resp.ContentLength,
 		Trailer: func() http.Header { return resp.Trailer },
 		Load:    load,
-	}, nil
+	}
+	out.Bound(c.streams)
+	return out, nil
 }
 
 // cancelBody cancels the context of the request when the response body is closed.
--- a/upstream/dispatch.go
+++ b/upstream/dispatch.go
@@ -30,9 +30,10 @@
 	start := time.Now()
 	deadline := a.Deadline.Add(-deadlineMargin)
 	ctx, cancel := context.WithDeadline(ctx, deadline)
+	sent := newSentBody(a)
 	req := g.newRequest(a, start)
 	g.mu.Lock()
-	g.inFlight[id] = &inFlight{start: start, typicalLatency: a.TypicalLatency}
+	g.inFlight[id] = &inFlight{start: start, typicalLatency: a.TypicalLatency, body: sent}
 	address := g.announcement.Address
 	g.mu.Unlock()
 	maxIdle := idleTimeout
@@ -41,7 +42,7 @@
 	}
 	x, err := g.conns.roundTrip(ctx, req, address, deadline, maxIdle)
 	if err != nil {
-		g.finish(a, id, start, classifyError(ctx, err))
+		g.finish(a, id, start.Add(sent.awaited(time.Now())), classifyError(ctx, err))
 		defer cancel()
 		return nil, dispatchError(ctx, err)
 	}
@@ -64,10 +65,23 @@
 		end(r)
 		return resp, err
 	}
-	resp.Body = &stream{ReadCloser: resp.Body, expectedLength: resp.Length, onEnd: end, ctx: ctx}
+	resp.Body = newTrackedBody(ctx, time.Now(), resp, func(r result, readerTime time.Duration) {
+		g.excuse(id, readerTime)
+		g.finish(a, id, start.Add(readerTime), r)
+		cancel()
+	})
 	return resp, nil
 }
 
+// excuse makes the time in which the upstream waited for the reader of its response no part of what it took itself.
+func (g *Gate) excuse(id uint64, readerTime time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w := g.inFlight[id]; w != nil {
+		w.start = w.start.Add(readerTime)
+	}
+}
+
 // rejection returns an error if the response says that the upstream did not start the request. A response with a malformed status proves nothing.
 func (g *Gate) rejection(resp *http.Response) error {
 	if !validStatus(resp.StatusCode) {
--- a/upstream/gate.go
+++ b/upstream/gate.go
@@ -61,6 +61,7 @@
 	Trailer func() http.Header
 	Load    string // load of the upstream, in the text form of Load
 	content []byte
+	streams *Streams // bounds the response while it is sent; nil for no bound
 }
 
 // Gate is the admission control of one upstream: every request to it passes through its gate.
--- a/upstream/response.go
+++ b/upstream/response.go
@@ -20,6 +20,9 @@
 // copyBufferSize is the size in bytes of the buffer that copies a streamed response.
 const copyBufferSize = 32 << 10
 
+// Bound makes the bounds of s hold while the response is sent.
+func (r *Response) Bound(s *Streams) { r.streams = s }
+
 // Send writes the response to w. When it returns an error the header may have been sent, so the connection must be closed.
 func (r *Response) Send(w http.ResponseWriter) error {
 	h := w.Header()
@@ -31,6 +34,9 @@
 		if r.Length >= 0 {
 			h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 		}
+		x := r.streams.open(w, int64(len(data)))
+		defer x.close()
+		x.stall()
 		w.WriteHeader(r.Status)
 		if _, err := w.Write(data); err != nil && len(data) > 0 {
 			return errors.Wrap(err, "send response")
@@ -42,8 +48,10 @@
 	if r.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.Length, 10))
 	}
+	x := r.streams.open(w, streamBytes)
+	defer x.close()
 	w.WriteHeader(r.Status)
-	if err := copyFlush(w, r.Body); err != nil {
+	if err := copyFlush(w, r.Body, x); err != nil {
 		return errors.Wrap(err, "stream response")
 	}
 	r.sendTrailer(h)
@@ -60,18 +68,20 @@
 }
 
 // copyFlush copies src to w and flushes after every read, so that streamed data is not delayed.
-func copyFlush(w http.ResponseWriter, src io.Reader) error {
+func copyFlush(w http.ResponseWriter, src io.Reader, x *sending) error {
 	rc := http.NewResponseController(w)
 	buf := make([]byte, copyBufferSize)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
+			x.stall()
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return werr
 			}
 			if ferr := rc.Flush(); ferr != nil {
 				return ferr
 			}
+			x.progress()
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -15,6 +15,7 @@
 	typicalLatency time.Duration
 	responded      bool // the head of the response has arrived
 	counted        bool // its silence is part of the estimate already
+	body           *sentBody
 }
 
 // silent reports whether the request's silence is evidence that the estimate does not contain yet.
@@ -22,8 +23,9 @@
 
 // silence returns the silence of a request at now.
 func (g *Gate) silence(now time.Time, w *inFlight) outlier.Silence {
-	due := w.start.Add(w.typicalLatency)
-	return outlier.Silence{Age: now.Sub(w.start), Typical: w.typicalLatency, Overtaken: g.lastHeard.After(due)}
+	start := w.start.Add(w.body.awaited(now))
+	due := start.Add(w.typicalLatency)
+	return outlier.Silence{Age: now.Sub(start), Typical: w.typicalLatency, Overtaken: g.lastHeard.After(due)}
 }
 
 // suspicion returns the probability that the upstream is unhealthy, from the results of its requests and from the silence of those
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/jasminevane/jasminevane/outcome"
 	"github.com/pkg/errors"
@@ -51,45 +52,62 @@
 	return r.Body
 }
 
-// stream is the body of a large response. It reports how reading it ended.
-type stream struct {
+// trackedBody is the body of a large response. It reports how reading it ended, and how long the upstream waited for its reader.
+type trackedBody struct {
 	io.ReadCloser
 	ctx            context.Context
 	expectedLength int64
 	readLength     int64
+	start          time.Time     // of the body
+	lastRead       time.Time     // end of the last read, or start
+	readerTime     time.Duration // time between reads, in which the reader did something else
 	once           sync.Once
-	onEnd          func(result)
+	onEnd          func(r result, readerTime time.Duration)
+}
+
+// newTrackedBody returns a body whose first byte was read at start.
+func newTrackedBody(ctx context.Context, start time.Time, resp *Response, onEnd func(result, time.Duration)) *trackedBody {
+	return &trackedBody{ReadCloser: resp.Body, ctx: ctx, expectedLength: resp.Length, start: start, lastRead: start, onEnd: onEnd}
 }
 
 // Read implements io.Reader.
-func (s *stream) Read(p []byte) (int, error) {
-	n, err := s.ReadCloser.Read(p)
-	s.readLength += int64(n)
+func (b *trackedBody) Read(p []byte) (int, error) {
+	b.readerTime += time.Since(b.lastRead)
+	n, err := b.ReadCloser.Read(p)
+	b.lastRead = time.Now()
+	b.readLength += int64(n)
 	switch {
 	case err == nil:
 		return n, nil
-	case err == io.EOF && (s.expectedLength < 0 || s.readLength == s.expectedLength):
-		s.once.Do(func() { s.onEnd(succeeded) })
+	case err == io.EOF && (b.expectedLength < 0 || b.readLength == b.expectedLength):
+		b.end(succeeded)
 	case err == io.EOF:
 		err = io.ErrUnexpectedEOF
-		s.once.Do(func() { s.onEnd(broken) })
+		b.end(broken)
 	default:
-		s.once.Do(func() { s.onEnd(s.classifyFailure(err)) })
+		b.end(b.classifyFailure(err))
 	}
 	return n, err
 }
 
-// classifyFailure returns the result of a body that failed before its end. One that is still coming when the deadline passes is a
-// failure of the upstream: it may never end.
-func (s *stream) classifyFailure(err error) result {
-	if r := classifyError(s.ctx, err); r != timedOut {
+func (b *trackedBody) end(r result) {
+	b.once.Do(func() { b.onEnd(r, b.readerTime) })
+}
+
+// classifyFailure returns the result of a body that failed before its end. One that is still coming when the deadline passes is a failure of the
+// upstream, since it may never end, unless most of the time went by while its reader didn't read.
+func (b *trackedBody) classifyFailure(err error) result {
+	if r := classifyError(b.ctx, err); r != timedOut {
 		return r
 	}
+	if b.readerTime > time.Since(b.start)/2 {
+		return canceled
+	}
 	return failed
 }
 
 // Close implements io.Closer.
-func (s *stream) Close() error {
-	s.once.Do(func() { s.onEnd(canceled) })
-	return s.ReadCloser.Close()
+func (b *trackedBody) Close() error {
+	b.end(canceled)
+	return b.ReadCloser.Close()
 }
