Pipelining: idempotent requests of a connection run in parallel, answered in order

Cause: net/http serves one request of a connection at a time, so that pipelined requests wait for those in front of them.

Change: package pipeline wraps the connections of the callers' port. net/http serves them as before; while it serves a request, further idempotent ones are read ahead and run up to limits.pipeline (0 to 64, default 0: as before), and their responses wait for their turn.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	for m in $(MODULES); do (cd $$m && go build ./...) || exit 1; done
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
-DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./platform ./quota ./retry ./rollout ./routing ./stream
+DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./pipeline ./platform ./quota ./retry ./rollout ./routing ./stream
 PLAIN = ./caller ./idempotency ./setting ./tcp ./upstream
 
 # The ownership tests run without the race detector, which makes them 10 times slower; the code under test starts no goroutines.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,6 +30,7 @@
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
 	endedStreams     prometheus.Counter
+	pipelined        prometheus.Counter
 }
 
 // newMetrics returns the metrics of a node. The request and attempt metrics carry the node's data centre as a label.
@@ -66,8 +67,9 @@
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
 		endedStreams:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "ended_streams_total", Help: "Responses that were ended since their readers were too slow."}),
+		pipelined:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "pipelined_requests_total", Help: "Requests of callers that were started before their turn."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds, m.endedStreams,
+	m.registry.MustRegister(m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.stalledSeconds, m.endedStreams, m.pipelined,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/run.go
+++ b/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/pipeline"
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
@@ -63,6 +64,23 @@
 	maxUploadBytesOfConn = 4<<20 - 1
 )
 
+// pipelined makes the server of callers run pipelined requests in parallel if the settings say so, and returns its listener.
+func (n *Node) pipelined(server *http.Server) net.Listener {
+	if n.cfg.Limits.Pipeline <= 1 {
+		return n.listeners.caller
+	}
+	p := pipeline.New(n.cfg.Limits.Pipeline, n.repeatable, n.metrics.pipelined.Inc)
+	p.Attach(server)
+	return p.Listen(n.listeners.caller)
+}
+
+// repeatable reports whether a request may run twice, so that it may be run before it is known whether its turn comes. The class of a split route
+// is drawn for each request.
+func (n *Node) repeatable(r *http.Request) bool {
+	m, ok := n.Bundle().Route(r.Host, r.Method, r.URL.Path)
+	return ok && m.Class.Idempotent() && (m.Route == nil || !m.Route.IsSplit())
+}
+
 // maxStreamsPerConn is the maximum number of concurrent requests on one HTTP/2 connection.
 const maxStreamsPerConn = 1000
 
@@ -93,7 +111,7 @@
 	if n.listeners.ready != nil {
 		serve(servers.ready, n.listeners.ready)
 	}
-	serve(servers.caller.Server, n.listeners.caller)
+	serve(servers.caller.Server, n.pipelined(servers.caller.Server))
 	n.mu.Lock()
 	self := n.members.Self()
 	n.mu.Unlock()
--- a/node/settings.go
+++ b/node/settings.go
@@ -75,6 +75,7 @@
 	Grace         setting.Duration `toml:"grace"` // time from the signal to stop until the process is killed; 0 if it isn't
 	LameDuck      setting.Duration `toml:"lame"`  // how long a draining node still accepts requests
 	HeaderTimeout setting.Duration `toml:"header_timeout"`
+	Pipeline      int              `toml:"pipeline"` // requests of one connection that run in parallel; 0 or 1 for one after another
 }
 
 type logSettings struct {
@@ -99,6 +100,9 @@
 	defaultMinInServiceShare = 0.7 // minimum share of upstreams that ejection leaves in service
 )
 
+// maxPipeline is the largest value of limits.pipeline.
+const maxPipeline = 64
+
 // DefaultSettings returns settings that are complete except for names, addresses and keys.
 func DefaultSettings() Settings {
 	return Settings{
@@ -183,6 +187,9 @@
 	if s.Limits.Keys < 1 && s.Platform.Contract == defaultProtocols {
 		problems = append(problems, setting.NewProblem("limits.keys", "is %d, want at least 1", s.Limits.Keys))
 	}
+	if s.Limits.Pipeline < 0 || s.Limits.Pipeline > maxPipeline {
+		problems = append(problems, setting.NewProblem("limits.pipeline", "is %d, want 0 to %d", s.Limits.Pipeline, maxPipeline))
+	}
 	if s.Limits.Events < 0 {
 		problems = append(problems, setting.NewProblem("limits.events", "is %d, want at least 0", s.Limits.Events))
 	}
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -69,3 +69,12 @@
 	is.True(reports(0)) // nodes would read without a pause
 	is.True(!reports(time.Second))
 }
+
+func TestPipelineIsBounded(t *testing.T) {
+	for value, valid := range map[int]bool{-1: false, 0: true, 1: true, 64: true, 65: false} {
+		cfg := node.DefaultSettings()
+		cfg.Limits.Pipeline = value
+		reported := slices.ContainsFunc(cfg.Check(), func(p setting.Problem) bool { return strings.Contains(p.String(), "limits.pipeline") })
+		is.New(t).Equal(reported, !valid)
+	}
+}
