Pipelining: a response that was ended before its turn stays ended

Cause: where the turn of a response came before its handler had noticed that it was ended for its memory, either could win. Change: the end wins.

--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -100,6 +100,11 @@
 	case <-r.conn.gone:
 		r.lost = true
 	}
+	select {
+	case <-r.ended: // also if its turn came afterwards
+		r.lost = true
+	default:
+	}
 	if r.lost {
 		return os.ErrDeadlineExceeded
 	}
