--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	for m in $(MODULES); do (cd $$m && go build ./...) || exit 1; done
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
-DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./platform ./quota ./retry ./rollout ./routing
+DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./pipeline ./platform ./quota ./retry ./rollout ./routing ./stream
 PLAIN = ./caller ./idempotency ./limit ./setting ./tcp ./upstream
 
 # Load in virtual time, which runs without the race detector for the same reason as the ownership tests, and its scenarios that are listed in
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -42,13 +42,14 @@
 
 // Mount adds the handler of requests from callers to e. The limits hold unless the bundle in force sets others.
 func Mount(e *echo.Echo, d Dialect, f Fleet, l Limits) {
+	bodies := &uploads{}
 	e.RouteNotFound("/*", func(c echo.Context) error {
-		d.handle(f, c.Response().Writer, c.Request(), l)
+		d.handle(f, c.Response().Writer, c.Request(), l, bodies)
 		return nil
 	})
 }
 
-func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, l Limits) {
+func (d Dialect) handle(f Fleet, w http.ResponseWriter, req *http.Request, l Limits, bodies *uploads) {
 	start := time.Now()
 	bundleInForce := f.Bundle()
 	l = l.inForce(bundleInForce.Policy())
@@ -64,7 +65,12 @@
 		d.sendProblem(w, "", err)
 		return
 	}
-	resp, err := d.serve(f, bundleInForce, r, l.Body)
+	if req.Body != nil && req.ContentLength != 0 {
+		body := newTimedBody(w, req.Body, r.Deadline)
+		defer body.end()
+		req.Body = body
+	}
+	resp, err := d.serve(f, bundleInForce, r, l.Body, bodies)
 	if err == nil {
 		err = resp.ReadSmall()
 	}
@@ -112,7 +118,7 @@
 	return nil
 }
 
-func (d Dialect) serve(f Fleet, b *bundle.Bundle, r *Request, maxBody int64) (*upstream.Response, error) {
+func (d Dialect) serve(f Fleet, b *bundle.Bundle, r *Request, maxBody int64, bodies *uploads) (*upstream.Response, error) {
 	if b.HasKeys() {
 		if err := d.authenticate(f, b, r); err != nil {
 			return nil, unknownIfMayHaveRun(r, err)
@@ -125,7 +131,11 @@
 	if err := f.Admit(r); err != nil {
 		return nil, unknownIfMayHaveRun(r, err)
 	}
-	var err error
+	release, err := bodies.take(r.HTTP.ContentLength)
+	defer release()
+	if err != nil {
+		return nil, unknownIfMayHaveRun(r, err)
+	}
 	if r.Body, err = ReadBody(r.HTTP.Body, r.HTTP.ContentLength); err != nil {
 		return nil, unknownIfMayHaveRun(r, err)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -33,6 +33,8 @@
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
 	limitDecisions   *prometheus.CounterVec
+	endedStreams     prometheus.Counter
+	pipelined        prometheus.Counter
 }
 
 // newMetrics returns the metrics of a node. The request and attempt metrics carry the node's data centre as a label.
@@ -72,11 +74,13 @@
 		eraChanges:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "store_era_changes_total", Help: "Restorations of the platform's log service from a copy of which this node has learned."}),
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
+		endedStreams:   prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "ended_streams_total", Help: "Responses that were ended since their readers were too slow."}),
+		pipelined:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "pipelined_requests_total", Help: "Requests of callers that were started before their turn."}),
 	}
 	m.limitDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "jasmine", Name: "limit_decisions_total", Help: "Decisions on requests of callers with a limit.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds,
+	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds, m.endedStreams, m.pipelined,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/run.go
+++ b/node/run.go
@@ -11,6 +11,8 @@
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/limit"
 	"github.com/jasminevane/jasminevane/membership"
+	"github.com/jasminevane/jasminevane/pipeline"
+	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/pkg/errors"
 )
 
@@ -46,10 +48,40 @@
 		server.ReadTimeout = nonStreamingIOTimeout
 		server.WriteTimeout = nonStreamingIOTimeout
 	}
-	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn}
+	server.HTTP2 = &http.HTTP2Config{
+		MaxConcurrentStreams:          maxStreamsPerConn,
+		MaxReadFrameSize:              maxFrameBytes,
+		MaxReceiveBufferPerStream:     maxUploadBytes,
+		MaxReceiveBufferPerConnection: maxUploadBytesOfConn,
+	}
 	return server
 }
 
+// Limits of the bodies that are received on one HTTP/2 connection and that nobody has read yet. One connection carries the requests and the
+// heartbeats of another node, so that many requests whose upstream doesn't read must leave room in its window.
+const (
+	maxFrameBytes        = 16 << 10 // frame of another node; it keeps a buffer of this size for each body that it sends
+	maxUploadBytes       = upstream.StreamWindowBytes
+	maxUploadBytesOfConn = 4<<20 - 1
+)
+
+// pipelined makes the server of callers run pipelined requests in parallel if the settings say so, and returns its listener.
+func (n *Node) pipelined(server *http.Server) net.Listener {
+	if n.cfg.Limits.Pipeline <= 1 {
+		return n.listeners.caller
+	}
+	p := pipeline.New(n.cfg.Limits.Pipeline, n.repeatable, n.metrics.pipelined.Inc)
+	p.Attach(server)
+	return p.Listen(n.listeners.caller)
+}
+
+// repeatable reports whether a request may run twice, so that it may be run before it is known whether its turn comes. The class of a split route
+// is drawn for each request.
+func (n *Node) repeatable(r *http.Request) bool {
+	m, ok := n.Bundle().Route(r.Host, r.Method, r.URL.Path)
+	return ok && m.Class.Idempotent() && (m.Route == nil || !m.Route.IsSplit())
+}
+
 // maxStreamsPerConn is the maximum number of concurrent requests on one HTTP/2 connection.
 const maxStreamsPerConn = 1000
 
@@ -80,7 +112,7 @@
 	if n.listeners.ready != nil {
 		serve(servers.ready, n.listeners.ready)
 	}
-	serve(servers.caller.Server, n.listeners.caller)
+	serve(servers.caller.Server, n.pipelined(servers.caller.Server))
 	n.mu.Lock()
 	self := n.members.Self()
 	n.mu.Unlock()
