--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -21,6 +21,7 @@
 
 // readingFleet reads the body of each request and responds after a further wait.
 type readingFleet struct {
+	sureNode
 	bundle *bundle.Bundle
 	wait   time.Duration
 }
