--- a/caller/upload_test.go
+++ b/caller/upload_test.go
@@ -64,7 +64,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			e := echo.New()
-			caller.Mount(e, caller.DefaultDialect(), readingFleet{parseBundle(t), late}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
+			caller.Mount(e, caller.DefaultDialect(), readingFleet{bundle: parseBundle(t), wait: late}, caller.Limits{Head: 32 << 10, Body: 16 << 20})
 			srv := httptest.NewServer(e)
 			defer srv.Close()
 			c, err := net.Dial("tcp", srv.Listener.Addr().String())
