--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -16,6 +16,7 @@
 	minAllowanceRate = 4                      // requests a second from which a node gets an allowance; below it, giving the rest back costs what it saves
 	maxAskRate       = 250                    // calls a second for one caller that is over its limit
 	maxRetryAfter    = 2 * time.Second
+	askersPart       = 0.7 // part of the rate of the nodes that ask a bucket which it gets while another node may grant tokens
 )
 
 // Allocator holds the token buckets of the callers that this node grants tokens for, as their allocator or as its stand-in.
@@ -166,7 +167,7 @@
 	case b.isolated(now):
 		held = a.standInPace(b)
 	case now.Before(a.heldUntil): // all nodes may have started, each for itself
-		held = pace{rate: held.rate * a.fleet.share, capacity: held.capacity * a.fleet.share}
+		held = pace{rate: max(held.rate, a.askersRate(b)) * a.fleet.share, capacity: held.capacity * a.fleet.share}
 	}
 	if b.places.allocator != a.fleet.self {
 		heldUntil = now.Add(time.Second) // until the view changes
@@ -178,6 +179,12 @@
 	return free
 }
 
+// askersRate returns the part of the rate that belongs to the nodes that ask this one: each asks one node at a time, so that the nodes which may
+// be allocators together stay about within the rate. The rest is for nodes that have turned to another one within askerTime.
+func (a *Allocator) askersRate(b *bucket) float64 {
+	return askersPart * b.limit.Rate * a.fleet.part(b.recentAskers)
+}
+
 // standInPace returns the pace of a node to which others turn beyond a cut: the share of those that ask it, since each asks only one node.
 func (a *Allocator) standInPace(b *bucket) pace {
 	reserve := a.rule.reserve(b.limit)
