Pipelining: a single byte of a head is read without waiting for the client to leave

Cause: conn took each read of one byte for the one by which the server notices a client that leaves, and went on until the client had left or the read deadline had passed. The server also reads one byte of a head where its buffer of 4,096 bytes has room for no more: a line of the head that is longer than the buffer and arrived up to its byte 4,095 (or such a line behind others). With limits.pipeline above 1, such a request was answered with 400 after the header timeout.

Change: conn counts the bytes that were received and those that the server has read, and keeps reading ahead only while the server serves a request or has read its whole head.

--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -40,6 +40,8 @@
 	unparsed []byte     // bytes in which no head was looked for yet
 	partial  []byte     // start of a head that has not come to its end
 	body     int64      // bytes of a body that come before the next head
+	received int64      // bytes in which heads were looked for, or are yet to be
+	taken    int64      // bytes that the server has read
 	opaque   bool       // requests are no longer told apart, so that none is read ahead
 	waiting  []*request // requests whose heads were read, and that the server has not come to
 	current  *request   // request that the server serves, if any
@@ -49,12 +51,12 @@
 	buf      [readSize]byte
 }
 
-// Read implements net.Conn. The server reads single bytes only while it serves a request, to notice a client that leaves; such a read goes on
-// until the client has left or the server has served the request.
+// Read implements net.Conn. While it serves a request, the server reads single bytes to notice a client that leaves; such a read goes on until the
+// client has left or the server has served the request. The server also reads a single byte of a head where its buffer has no more room.
 func (c *conn) Read(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for len(b) == 1 && !c.opaque {
+	for len(b) == 1 && !c.opaque && c.serving() {
 		if err := c.readAhead(); err != nil {
 			return 0, err
 		}
@@ -62,16 +64,23 @@
 	if len(c.unread) > 0 {
 		n := copy(b, c.unread)
 		c.unread = c.unread[n:]
+		c.taken += int64(n)
 		return n, nil
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
+	c.taken += int64(n)
 	c.parse(b[:n])
 	c.startAhead()
 	return n, err
 }
 
+// serving reports whether the server serves a request, or has read the whole head of one and is about to.
+func (c *conn) serving() bool {
+	return c.current != nil || len(c.waiting) > 0 && c.taken >= c.waiting[0].end
+}
+
 // readAhead reads some bytes that the server will read later, or waits until there is room for them.
 func (c *conn) readAhead() error {
 	if len(c.unread) >= maxUnread {
@@ -154,6 +163,7 @@
 
 // parse finds the heads of requests among bytes that were read, as long as so few requests wait that they may be started soon.
 func (c *conn) parse(data []byte) {
+	c.received += int64(len(data))
 	c.unparsed = append(c.unparsed, data...)
 	for len(c.unparsed) > 0 && !c.opaque && len(c.waiting) < c.p.limit {
 		if c.body > 0 {
@@ -190,7 +200,7 @@
 		h.kind = barrier
 	}
 	c.body = h.length
-	c.waiting = append(c.waiting, newRequest(c, h))
+	c.waiting = append(c.waiting, newRequest(c, h, c.received-int64(len(c.unparsed))))
 }
 
 // startAhead starts the requests behind the current one that may run beside it.
--- a/pipeline/pipeline_test.go
+++ b/pipeline/pipeline_test.go
@@ -443,3 +443,32 @@
 	}
 	is.Equal(idle, 1) // after the last response only
 }
+
+// TestLongLineInTwoPackets guards against a request without an answer: where a line leaves one byte of room in the buffer of the server, the server
+// reads a single byte also while it doesn't serve a request. A second request follows, so that the same holds for bytes that were read ahead.
+func TestLongLineInTwoPackets(t *testing.T) {
+	const serverBuffer = 4096
+	line := func(number string) string {
+		return "GET /?n=" + number + "&x=" + strings.Repeat("a", 2*serverBuffer) + " HTTP/1.1\r\nHost: s.test\r\n\r\n"
+	}
+	is := is.New(t)
+	o := newOrigin(t)
+	c, err := net.Dial("tcp", o.address)
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	br := bufio.NewReader(c)
+	for _, number := range []string{"1", "2"} {
+		head := line(number)
+		_, err = io.WriteString(c, head[:serverBuffer-1])
+		is.NoErr(err)
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(c, head[serverBuffer-1:])
+		is.NoErr(err)
+		resp, err := http.ReadResponse(br, nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+	}
+}
--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -18,6 +18,7 @@
 type request struct {
 	head
 	conn    *conn
+	end     int64 // bytes of the connection up to the end of the head
 	started bool
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the handler has returned
@@ -33,7 +34,7 @@
 	deadline time.Time
 }
 
-func newRequest(c *conn, h head) *request { return &request{head: h, conn: c} }
+func newRequest(c *conn, h head, end int64) *request { return &request{head: h, conn: c, end: end} }
 
 // matches reports whether the server has read the same request.
 func (r *request) matches(req *http.Request) bool {
