Limits of callers: a node without a bundle grants no tokens

Cause: a node that has just started is live in the view of others, and allocator of its share of the callers, before it has a bundle. Until then it knew of no limit, took each caller for one without a limit and granted all tokens that other nodes asked for; what they reported as used was dropped.

Change: Allot returns ErrNoBundle while no bundle was ever in force and the caller has no limit. The asking node gets an error, asks the stand-in and reports again what it used. A node with a bundle that sets no limit for the caller answers as before.

Measured: TestNodeWithoutBundleGrantsNothing fails without the check (1,000 of 1,000 wanted tokens granted, no error) and passes with it; go test -race ./limit ./peer ./quota passes.

--- a/limit/limits.go
+++ b/limit/limits.go
@@ -22,6 +22,9 @@
 // TickInterval is the interval at which Tick must be called.
 const TickInterval = 100 * time.Millisecond
 
+// ErrNoBundle reports that a node can't tell the limit of a caller, since it has no bundle yet.
+var ErrNoBundle = errors.New("no bundle is in force here yet")
+
 // Caller makes the call Allot to the named node. A call that is given up costs the connection, so it ends much later than its answer is waited for.
 type Caller func(ctx context.Context, node string, ask quota.Ask) (quota.Grant, error)
 
@@ -36,6 +39,7 @@
 	allocator *quota.Allocator
 	lookup    func(caller string) quota.Limit
 	waiting   map[uint64]chan quota.Verdict // requests that wait for a token, by ticket
+	hasBundle bool                          // a bundle is in force
 }
 
 // New returns the limits of the named node, which starts now. Lookup returns the limit of a caller in force.
@@ -63,6 +67,7 @@
 func (l *Limits) SetCallers(now time.Time, n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.hasBundle = true
 	if l.fleet.SetCallers(n) {
 		l.allocator.Reassign(now)
 	}
@@ -152,7 +157,7 @@
 // allotAt passes an Ask to the named node, which may be this one.
 func (l *Limits) allotAt(node string, ask quota.Ask) (quota.Grant, error) {
 	if node == l.self {
-		return l.Allot(ask), nil
+		return l.Allot(ask)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
@@ -160,9 +165,15 @@
 	return grant, errors.Wrapf(err, "ask %s for tokens of %s", node, ask.Caller)
 }
 
-// Allot answers an Ask, or passes it on to the caller's allocator.
-func (l *Limits) Allot(ask quota.Ask) quota.Grant {
+// Allot answers an Ask, or passes it on to the caller's allocator. The error is ErrNoBundle if the node doesn't know the limits of callers yet: it
+// must not take a caller for one without a limit, and the node that asks turns to the stand-in.
+func (l *Limits) Allot(ask quota.Ask) (quota.Grant, error) {
+	unlimited := l.lookup(ask.Caller).Rate <= 0
 	l.mu.Lock()
+	if unlimited && !l.hasBundle {
+		l.mu.Unlock()
+		return quota.Grant{}, ErrNoBundle
+	}
 	to := l.allocator.Relay(time.Now(), ask)
 	l.mu.Unlock()
 	if to != "" {
@@ -171,13 +182,13 @@
 		l.allocator.Relayed(time.Now(), ask, to, ok)
 		l.mu.Unlock()
 		if ok {
-			return grant
+			return grant, nil
 		}
 	}
 	limit := l.lookup(ask.Caller)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.allocator.Answer(time.Now(), ask, limit)
+	return l.allocator.Answer(time.Now(), ask, limit), nil
 }
 
 func (l *Limits) relay(to string, ask quota.Ask) (quota.Grant, bool) {
--- a/limit/limits_test.go
+++ b/limit/limits_test.go
@@ -93,6 +93,22 @@
 	}
 }
 
+// TestNodeWithoutBundleGrantsNothing guards against a node that has just started taking each caller for one without a limit, and granting other nodes
+// all that they ask for.
+func TestNodeWithoutBundleGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	l := limit.New(now, "a", quota.Rule{Window: 5 * time.Second, Overage: 0.1}, func(string) quota.Limit { return quota.Limit{} }, nil)
+	ask := quota.Ask{Caller: "x", Node: "b", Wanted: 1000, Used: 10}
+	grant, err := l.Allot(ask)
+	is.True(errors.Is(err, limit.ErrNoBundle)) // the asking node turns to the stand-in, and reports again what it used
+	is.Equal(grant, quota.Grant{})
+	l.SetCallers(now, 0) // a bundle in which no caller has a limit
+	grant, err = l.Allot(ask)
+	is.NoErr(err)
+	is.Equal(grant.Tokens, 1000.0)
+}
+
 // TestAskIsPassedOn guards against a node that grants tokens itself though it reaches the allocator, which a node with another view doesn't ask.
 func TestAskIsPassedOn(t *testing.T) {
 	is := is.New(t)
@@ -101,10 +117,13 @@
 		relayed.Store(node == "b" && ask.Relayed)
 		return quota.Grant{Tokens: 1}, nil
 	})
-	is.Equal(l.Allot(quota.Ask{Caller: caller, Node: "c", Wanted: 1}).Tokens, 1.0)
+	grant, err := l.Allot(quota.Ask{Caller: caller, Node: "c", Wanted: 1})
+	is.NoErr(err)
+	is.Equal(grant.Tokens, 1.0)
 	is.True(relayed.Load())
 	relayed.Store(false)
-	l.Allot(quota.Ask{Caller: caller, Node: "c", Wanted: 1, Relayed: true})
+	_, err = l.Allot(quota.Ask{Caller: caller, Node: "c", Wanted: 1, Relayed: true})
+	is.NoErr(err)
 	is.True(!relayed.Load()) // it is passed on once
 	l.Wait()
 }
--- a/node/limit.go
+++ b/node/limit.go
@@ -55,7 +55,7 @@
 }
 
 // Allot implements peer.Node.
-func (n *Node) Allot(ask quota.Ask) quota.Grant { return n.limits.Allot(ask) }
+func (n *Node) Allot(ask quota.Ask) (quota.Grant, error) { return n.limits.Allot(ask) }
 
 // allotAt asks another node for tokens.
 func (n *Node) allotAt(ctx context.Context, name string, ask quota.Ask) (quota.Grant, error) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -35,8 +35,8 @@
 	Reach(ctx context.Context, address string) bool
 	// UpstreamLoad returns the load of an upstream and the health evidence for a class; ok is false if the upstream is not local to the node.
 	UpstreamLoad(upstream, class string) (load string, ok bool)
-	// Allot grants tokens of a caller's rate limit.
-	Allot(ask quota.Ask) quota.Grant
+	// Allot grants tokens of a caller's rate limit. The error says that this node can't tell the limit.
+	Allot(ask quota.Ask) (quota.Grant, error)
 	// Events returns the recorded events that match f.
 	Events(f event.Filter) []event.Event
 	// RenewLeases renews leases and returns the node's incarnation and the shards that it refused.
@@ -118,5 +118,9 @@
 }
 
 func (s *server) Allot(_ context.Context, req *connect.Request[peerv1.AllotRequest]) (*connect.Response[peerv1.AllotResponse], error) {
-	return connect.NewResponse(grantProto(s.node.Allot(quotaAsk(req.Msg)))), nil
+	grant, err := s.node.Allot(quotaAsk(req.Msg))
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(grantProto(grant)), nil
 }
