Limits of callers: tokens returned together don't exceed the rule

Cause: the token of a request that was admitted and then refused as not run stayed at the node, for 0.5 s and in any number. Where many requests that had waited for seconds were refused together, as many more ran at once, on top of what the allocator granted in the same window.

Change: the node keeps at most one returned token and gives the others back with its next report, so that the capacity of the bucket bounds them. What is left: each node may still use one returned token of an earlier window.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -221,11 +221,20 @@
 	return verdict(now, caller, a, ticket, Unanswered), true
 }
 
-// Return gives back the token of a request that was admitted but has not run.
+// Return gives back the token of a request that was admitted but has not run. This node uses at most one such token itself. The others go back with
+// the next report, and the allocator's bucket takes no more than it holds: many requests that have waited for seconds may be refused together, and as
+// many more at once would exceed what may run in a window.
 func (l *Limiter) Return(now time.Time, caller string) {
-	if a := l.accounts[caller]; a != nil {
-		a.keep(now, 1)
+	a := l.accounts[caller]
+	if a == nil {
+		return
+	}
+	a.expire(now)
+	if a.spare >= 1 {
+		a.used--
+		return
 	}
+	a.keep(now, 1)
 }
 
 // Tick returns the calls that report requests admitted without a token and give unused tokens back. It must be called several times a second.
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -97,6 +97,56 @@
 	is.True(call == nil)
 }
 
+// TestTokensReturnedTogetherKeepTheRule guards against more requests in a window than the rule allows after requests that waited for seconds were all
+// refused at once, as when a gate ends its queue.
+func TestTokensReturnedTogetherKeepTheRule(t *testing.T) {
+	const step, tick = time.Millisecond, 100 * time.Millisecond
+	limit := quota.Limit{Rate: 96, Burst: 96}
+	f := newTestFleet()
+	l, a := quota.NewLimiter(f), quota.NewAllocator(epoch, f, testRule)
+	now := epoch
+	answer := func(c *quota.Call) quota.Output { return l.Answered(now, c, a.Answer(now, c.Ask, limit)) }
+	admit := func() bool {
+		v, c := l.Admit(now, "x", limit)
+		admitted := v.Decision.Admitted()
+		for c != nil {
+			out := answer(c)
+			for _, decided := range out.Verdicts {
+				admitted = admitted || decided.Ticket == v.Ticket && decided.Decision.Admitted()
+			}
+			c = out.Call
+		}
+		return admitted
+	}
+	run := func(d time.Duration, sends bool) (admitted int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(step) {
+			if now.Sub(epoch)%tick == 0 {
+				a.Tick(now)
+				for _, c := range l.Tick(now) {
+					answer(c)
+				}
+			}
+			if sends && admit() {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	run(20*time.Second, false)
+	refused := run(2*time.Second, true)
+	for range refused {
+		l.Return(now, "x")
+	}
+	ran := float64(run(testRule.Window, true))
+	window := limit.Rate * testRule.Window.Seconds()
+	if allowed := (window+limit.Burst)*(1+testRule.Overage) + testRule.Slack; ran > allowed {
+		t.Fatalf("%v requests ran in a window after %d were refused, allowed are %.1f", ran, refused, allowed)
+	}
+	if ran < window {
+		t.Fatalf("%v requests ran in a window, the limit allows %v", ran, window)
+	}
+}
+
 // TestCallerWithoutRateIsNotLimited guards against a caller without a limit being asked for, or refused.
 func TestCallerWithoutRateIsNotLimited(t *testing.T) {
 	is := is.New(t)
