Admission by cost: the tally that is dropped is the one not used for longest

Cause: a tracker with 1,024 tallies dropped the one whose time of decay was oldest, but ranking any caller brings all tallies up to date. From then on all had the same time, tallies older than the long memory were never found, and the order of the map chose: a busy caller could lose what is known of its usual demand, and the decision differed from run to run.

Change: a tally keeps the time of its last offer or start, and a number that decides between equal times.

--- a/admission/fairness.go
+++ b/admission/fairness.go
@@ -25,6 +25,8 @@
 	started float64   // requests started within the short memory
 	used    float64   // work started within the short memory, in seconds
 	usual   float64   // work offered within the long memory, in seconds
+	usedAt  time.Time // time of the last offer or start, or of the creation
+	number  uint64    // in the order in which the tallies of the tracker were created
 }
 
 // decay brings the tally up to date.
@@ -43,12 +45,14 @@
 
 func (t *tally) recordOffer(now time.Time, work float64) {
 	t.decay(now)
+	t.usedAt = now
 	t.offered++
 	t.usual += work
 }
 
 func (t *tally) recordStart(now time.Time, work float64) {
 	t.decay(now)
+	t.usedAt = now
 	t.started++
 	t.used += work
 }
@@ -83,6 +87,7 @@
 // tracker holds the tallies of up to maxTallies keys. The zero value is empty.
 type tracker[K comparable] struct {
 	tallies map[K]*tally
+	created uint64 // number of tallies created so far
 }
 
 // get returns the tally of a key. If there is no room for a new one, the one that was not used for longest is dropped.
@@ -96,29 +101,38 @@
 	if len(s.tallies) >= maxTallies {
 		s.evict(now)
 	}
-	t := &tally{at: now}
+	s.created++
+	t := &tally{at: now, usedAt: now, number: s.created}
 	s.tallies[key] = t
 	return t
 }
 
-// evict drops the tallies that have decayed, or the oldest one if there are none.
+// evict drops the tallies that were not used within the long memory, or the one that was not used for longest if there are none.
 func (s *tracker[K]) evict(now time.Time) {
-	var oldest K
-	oldestAt := now
+	var oldestKey K
+	var oldest *tally
 	for key, t := range s.tallies {
-		if now.Sub(t.at) > longMemory {
+		if now.Sub(t.usedAt) > longMemory {
 			delete(s.tallies, key)
 			continue
 		}
-		if !t.at.After(oldestAt) {
-			oldest, oldestAt = key, t.at
+		if oldest == nil || t.usedBefore(oldest) {
+			oldestKey, oldest = key, t
 		}
 	}
 	if len(s.tallies) >= maxTallies {
-		delete(s.tallies, oldest)
+		delete(s.tallies, oldestKey)
 	}
 }
 
+// usedBefore reports whether the tally was last used before the other. Of two last used at the same time, it is the one created first.
+func (t *tally) usedBefore(other *tally) bool {
+	if t.usedAt.Equal(other.usedAt) {
+		return t.number < other.number
+	}
+	return t.usedAt.Before(other.usedAt)
+}
+
 // callerShares holds the tallies of the callers. The zero value is empty.
 type callerShares struct {
 	tracker[string]
--- a/admission/fairness_internal_test.go
+++ b/admission/fairness_internal_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -21,3 +22,28 @@
 	is.True(s.tallies[0] != nil) // the one in use stays
 	is.True(s.get(now, 0).offered > 1000)
 }
+
+// TestTrackerDropsTheLeastRecentlyUsed guards against the tally of a busy caller being dropped, with what is known of its usual demand, because another
+// caller was ranked since. It also guards against a choice by the order of a map, which differs from run to run.
+func TestTrackerDropsTheLeastRecentlyUsed(t *testing.T) {
+	is := is.New(t)
+	var shares callerShares
+	var all tally
+	now := time.Unix(1000, 0)
+	name := func(i int) string { return fmt.Sprintf("c%d", i) }
+	for i := range maxTallies {
+		shares.get(now, name(i)).recordOffer(now, 1)
+		now = now.Add(time.Millisecond)
+	}
+	shares.get(now, name(0)).recordOffer(now, 1)
+	now = now.Add(time.Second)
+	shares.overuse(now, name(5), 1, &all) // brings all tallies up to date
+	shares.get(now, "new")
+	shares.get(now, "newer")
+	is.Equal(len(shares.tallies), maxTallies)
+	for _, dropped := range []int{1, 2} {
+		is.True(shares.tallies[name(dropped)] == nil)
+	}
+	is.True(shares.tallies[name(0)] != nil)
+	is.True(shares.tallies["new"] != nil)
+}
