setting: find the line of a key in its own table

A problem with caller[3].rate named the first line of the file that assigns a rate, in whatever table.

--- a/setting/setting.go
+++ b/setting/setting.go
@@ -18,6 +18,7 @@
 	line int
 	key  string
 	text string
+	code string
 }
 
 // NewProblem returns a problem with the value of a key, for use by Checker implementations.
@@ -25,6 +26,24 @@
 	return Problem{key: key, text: fmt.Sprintf(format, args...)}
 }
 
+// WithCode returns the problem with a stable code that names its kind.
+func (p Problem) WithCode(code string) Problem {
+	p.code = code
+	return p
+}
+
+// WithLine returns the problem with the line of its value, counted from 1.
+func (p Problem) WithLine(line int) Problem {
+	p.line = line
+	return p
+}
+
+// Code returns the stable code that names the kind of the problem, or "".
+func (p Problem) Code() string { return p.code }
+
+// Text returns what is wrong, without the place.
+func (p Problem) Text() string { return p.text }
+
 // Key returns the dotted name of the key.
 func (p Problem) Key() string { return p.key }
 
@@ -101,7 +120,7 @@
 	}
 	for i := range problems {
 		problems[i].file = file
-		problems[i].line = findLine(data, problems[i].key)
+		problems[i].line = FindLine(data, problems[i].key)
 	}
 	return &Error{problems: problems}
 }
@@ -171,18 +190,3 @@
 	}
 	return best
 }
-
-// findLine returns the first line that assigns the last part of the dotted key.
-func findLine(data []byte, key string) int {
-	last := key[strings.LastIndexByte(key, '.')+1:]
-	if last == "" {
-		return 0
-	}
-	for i, line := range strings.Split(string(data), "\n") {
-		name, _, ok := strings.Cut(line, "=")
-		if ok && strings.TrimSpace(name) == last {
-			return i + 1
-		}
-	}
-	return 0
-}
