--- a/bundle/document.go
+++ b/bundle/document.go
@@ -151,13 +151,21 @@
 	}
 }
 
+// reportAs adds a problem of the kind that the code names.
+func (c *checker) reportAs(code Code, key, format string, args ...any) {
+	c.problems = append(c.problems, setting.NewProblem(key, format, args...).WithCode(string(code)))
+}
+
 // unique reports a problem at the key if the ID was already declared.
-func (c *checker) unique(key, id string) {
+func (c *checker) unique(key, id string) { c.uniqueAs(CodeInvalid, key, id) }
+
+// uniqueAs does the same with the code of the problem.
+func (c *checker) uniqueAs(code Code, key, id string) {
 	if c.seen == nil {
 		c.seen = make(map[string]bool)
 	}
 	if c.seen[id] {
-		c.report(key, "%s is given twice", id)
+		c.reportAs(code, key, "%s is given twice", id)
 	}
 	c.seen[id] = true
 }
@@ -194,7 +202,7 @@
 			c.report(key+".hosts", "is empty")
 		}
 		for _, h := range s.Hosts {
-			c.unique(key+".hosts", "host/"+h)
+			c.uniqueAs(CodeSharedHost, key+".hosts", "host/"+h)
 		}
 		if s.Floor < 0 || s.Floor > 1 {
 			c.report(key+".floor", "is %g, want 0 to 1", s.Floor)
@@ -231,7 +239,7 @@
 		}
 		shares[class.Service] += class.Share
 		if class.Share < 0 || shares[class.Service] > 1 {
-			c.report(key+".share", "shares of service %q add up to %g, want 0 to 1", class.Service, shares[class.Service])
+			c.reportAs(CodeSharesExceedOne, key+".share", "shares of service %q add up to %g, want 0 to 1", class.Service, shares[class.Service])
 		}
 	}
 }
@@ -308,7 +316,7 @@
 			continue
 		}
 		if owner, taken := owners[digest]; taken && owner != caller.Name {
-			c.report(key, "entry %d belongs to caller %q already", i, owner)
+			c.reportAs(CodeSharedKey, key, "entry %d belongs to caller %q already", i, owner)
 		}
 		owners[digest] = caller.Name
 	}
