bundle: refuse numbers that are NaN or infinite

A floor, share, weight or retry ratio of nan passed the check, since it is neither below nor above a bound, and the encoder of the entries panicked. The checks ask whether the number is within its bounds. The new test panicked before the change and passes now, with -race.

--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -172,3 +172,26 @@
 		})
 	}
 }
+
+// TestParseRefusesNumbersThatAreNone guards against a panic when the bundle is encoded: JSON has neither NaN nor infinity.
+func TestParseRefusesNumbersThatAreNone(t *testing.T) {
+	const split = "split = [{service = \"reservas\", class = \"check\", weight = 1}, {service = \"reservas\", class = \"confirm\", weight = W}]\n"
+	tests := []struct{ name, text, key string }{
+		{"retries", strings.Replace(validBundle, "retries = 0.1", "retries = W", 1), "policy.retries"},
+		{"reserve", strings.Replace(validBundle, "retries = 0.1", "retries = 0.1\nreserve = W", 1), "policy.reserve"},
+		{"floor", strings.Replace(validBundle, "floor = 0.6", "floor = W", 1), "service[0].floor"},
+		{"share", strings.Replace(validBundle, "share = 0.4", "share = W", 1), "class[1].share"},
+		{"weight", validBundle + split, "route[1].split[1].weight"},
+	}
+	for _, tt := range tests {
+		for _, number := range []string{"nan", "inf"} {
+			t.Run(tt.name+" "+number, func(t *testing.T) {
+				is := is.New(t)
+				_, err := bundle.Parse("b.toml", []byte(strings.Replace(tt.text, "W", number, 1)))
+				var invalid *setting.Error
+				is.True(errors.As(err, &invalid))
+				is.Equal(invalid.Problems()[0].Key(), tt.key)
+			})
+		}
+	}
+}
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -177,9 +177,12 @@
 	if p.KeyRetention.Std() < time.Minute {
 		c.report("policy.key_retention", "is %v, want at least 1m", p.KeyRetention.Std())
 	}
-	if p.Retries < 0 || p.Retries > 1 {
+	if !within(p.Retries, 0, 1) {
 		c.report("policy.retries", "is %g, want 0 to 1", p.Retries)
 	}
+	if !isFinite(p.Reserve) {
+		c.report("policy.reserve", "is %g, want a number of retries", p.Reserve)
+	}
 }
 
 func (c *checker) teams(d *Document) {
@@ -204,7 +207,7 @@
 		for _, h := range s.Hosts {
 			c.uniqueAs(CodeSharedHost, key+".hosts", "host/"+h)
 		}
-		if s.Floor < 0 || s.Floor > 1 {
+		if !within(s.Floor, 0, 1) {
 			c.report(key+".floor", "is %g, want 0 to 1", s.Floor)
 		}
 	}
@@ -238,7 +241,7 @@
 			c.report(key+".timeout", "is not set")
 		}
 		shares[class.Service] += class.Share
-		if class.Share < 0 || shares[class.Service] > 1 {
+		if class.Share < 0 || !within(shares[class.Service], 0, 1) {
 			c.reportAs(CodeSharesExceedOne, key+".share", "shares of service %q add up to %g, want 0 to 1", class.Service, shares[class.Service])
 		}
 	}
@@ -269,7 +272,7 @@
 		if !c.seen["class/"+target.Service+"/"+target.Class] {
 			c.report(targetKey+".class", "class %q of service %q is not declared", target.Class, target.Service)
 		}
-		if target.Weight < 0 {
+		if !isFinite(target.Weight) || target.Weight < 0 {
 			c.report(targetKey+".weight", "is %g, want at least 0", target.Weight)
 		}
 		totalWeight += max(0, target.Weight)
@@ -322,4 +325,7 @@
 	}
 }
 
+// within reports whether a number is between two others; NaN is not.
+func within(f, low, high float64) bool { return f >= low && f <= high }
+
 func isFinite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
