jasminectl: check a configuration before it is sent

Operators had only bundle check, which stops at what a node refuses and can't read the configuration of the platform's contract.

--- a/bundle/finding.go
+++ b/bundle/finding.go
@@ -52,6 +52,7 @@
 	CodeLimitOverRoom        Code = "limit-over-room"
 	CodeUnknownSlots         Code = "unknown-slots"
 	CodeAdjusted             Code = "adjusted"
+	CodeInvalidAgainst       Code = "invalid-against" // the configuration in force, with which the checked one is compared
 )
 
 // Codes of differences between two configurations.
--- a/bundle/lint_test.go
+++ b/bundle/lint_test.go
@@ -24,7 +24,8 @@
 	return fmt.Sprintf("[[route]]\nservice = %q\nhost = %q\nprefix = %q\nmethod = %q\nclass = %q\n", service, host, prefix, method, class)
 }
 
-func service(name, host string) string {
+func second(host string) string {
+	const name = "two"
 	return fmt.Sprintf("[[service]]\nname = %q\nhosts = [%q]\n[[class]]\nservice = %q\nname = \"all\"\ntimeout = \"1s\"\n", name, host, name)
 }
 
@@ -52,13 +53,13 @@
 		{"a host of the service and the same host of a route", validBundle + route("reservas", "r.test", "/bookings", "POST", "confirm"), nil,
 			[]string{"warning hidden-route route[0].prefix"}}, // the first key of an entry wins
 		{"a host with a port", validBundle + route("reservas", "r.test:80", "/", "", "check"), nil, []string{"warning unmatchable-host route[2].host"}},
-		{"a host of two services", validBundle + service("two", "r.test") + route("two", "", "/two", "", "all"), nil, []string{"error shared-host service[1].hosts"}},
-		{"a host that differs in case", validBundle + service("two", "R.test") + route("two", "", "/two", "", "all"), nil, []string{"warning shared-host service[1].hosts"}},
-		{"a host of another service in a route", validBundle + service("two", "two.test") + route("two", "r.test", "/two", "", "all"), nil,
+		{"a host of two services", validBundle + second("r.test") + route("two", "", "/two", "", "all"), nil, []string{"error shared-host service[1].hosts"}},
+		{"a host that differs in case", validBundle + second("R.test") + route("two", "", "/two", "", "all"), nil, []string{"warning shared-host service[1].hosts"}},
+		{"a host of another service in a route", validBundle + second("two.test") + route("two", "r.test", "/two", "", "all"), nil,
 			[]string{"warning shared-host route[2].host"}},
-		{"a service without a route", validBundle + service("two", "two.test"), nil, []string{"warning unused-service service[1]"}},
+		{"a service without a route", validBundle + second("two.test"), nil, []string{"warning unused-service service[1]"}},
 		{"a class without a route", validBundle + "[[class]]\nservice = \"reservas\"\nname = \"idle\"\ntimeout = \"1s\"\n", nil, []string{"warning unused-class class[2]"}},
-		{"a split that leaves the route's class out", validBundle + service("two", "two.test") +
+		{"a split that leaves the route's class out", validBundle + second("two.test") +
 			route("two", "", "/", "", "all") + "split = [{service = \"reservas\", class = \"check\", weight = 1}, {service = \"two\", class = \"all\", weight = 0}]\n", nil,
 			[]string{"warning unused-service service[1]"}},
 		{"a caller without a key", validBundle + callerTable("a", quotedDigest("a"), "") + callerTable("b", "", ""), nil, []string{"warning caller-without-key caller[1]"}},
@@ -115,7 +116,7 @@
 
 // TestCompare guards against a change that takes work from callers without a warning, and against warnings of changes that don't.
 func TestCompare(t *testing.T) {
-	two := validBundle + service("two", "two.test") + route("two", "", "/", "", "all")
+	two := validBundle + second("two.test") + route("two", "", "/", "", "all")
 	a, b := quotedDigest("a"), quotedDigest("b")
 	tests := []struct {
 		name, before, after string
--- a/jasminectl/main.go
+++ b/jasminectl/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 )
 
@@ -17,9 +18,14 @@
 			&cli.StringFlag{Name: "admin", Usage: "admin address of any node", Value: "127.0.0.1:8083"},
 			&cli.StringFlag{Name: "token", Usage: "bearer token", Sources: cli.EnvVars("JASMINE_TOKEN")},
 		},
-		Commands: []*cli.Command{keyCommand(), bundleCommand(), statusCommand(), membersCommand(), upstreamsCommand(), timelineCommand(), explainCommand()},
+		Commands: []*cli.Command{keyCommand(), bundleCommand(), checkCommand(), statusCommand(), membersCommand(), upstreamsCommand(), timelineCommand(), explainCommand()},
 	}
-	if err := cmd.Run(context.Background(), os.Args); err != nil {
+	err := cmd.Run(context.Background(), os.Args)
+	var checked *checkError
+	switch {
+	case errors.As(err, &checked):
+		os.Exit(checked.exitCode())
+	case err != nil:
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
