--- a/jasminectl/check.go
+++ b/jasminectl/check.go
@@ -116,8 +116,9 @@
 }
 
 func decodeBundle(file string, data []byte) (*configFile, error) {
+	lines := setting.NewLines(data)
 	c := &configFile{locate: func(f bundle.Finding) bundle.Finding {
-		f.Line = setting.FindLine(data, f.Place)
+		f.Line = lines.Find(f.Place)
 		return f
 	}}
 	var err error
--- a/setting/line.go
+++ b/setting/line.go
@@ -5,38 +5,49 @@
 	"strings"
 )
 
-// FindLine returns the line, counted from 1, of the value at a dotted key such as "route[2].prefix" in a TOML file: that of the key in its
-// table, or else that of the header of the table, or 0 if it finds neither. It reads line by line and doesn't know keys within inline
-// tables.
-func FindLine(data []byte, key string) int {
-	table, last := splitKey(key)
+// Lines holds the lines, counted from 1, of the keys and the headers of tables in a TOML file.
+type Lines struct{ byKey map[string]int }
+
+// NewLines reads a file line by line. It doesn't know keys within inline tables.
+func NewLines(data []byte) Lines {
+	l := Lines{byKey: make(map[string]int)}
 	counts := make(map[string]int) // elements of arrays of tables that have begun, by path with the indexes of the tables around
-	current, headerLine := "", 0
+	current := ""
 	for i, line := range strings.Split(string(data), "\n") {
 		line = strings.TrimSpace(line)
 		if name, isArray, ok := tableHeader(line); ok {
 			current = tablePath(name, isArray, counts)
-			if current == key {
-				return i + 1
-			}
-			if current == table && headerLine == 0 {
-				headerLine = i + 1
-			}
+			l.put(current, i+1)
 			continue
 		}
 		name, _, ok := strings.Cut(line, "=")
-		if !ok || strings.HasPrefix(line, "#") {
-			continue
-		}
-		name = strings.Trim(strings.TrimSpace(name), `"'`)
-		if current == table && name == last || joinKey(current, name) == key {
-			return i + 1
+		if ok && !strings.HasPrefix(line, "#") {
+			l.put(joinKey(current, strings.Trim(strings.TrimSpace(name), `"'`)), i+1)
 		}
 	}
-	if headerLine == 0 && table != "" {
-		return FindLine(data, table) // an inline table, or none
+	return l
+}
+
+func (l Lines) put(key string, line int) {
+	if l.byKey[key] == 0 {
+		l.byKey[key] = line
+	}
+}
+
+// Find returns the line of the value at a dotted key such as "route[2].prefix": that of the key in its table, or else that of the header of
+// the table, or 0 if the file has neither.
+func (l Lines) Find(key string) int {
+	if key == "" {
+		return 0
+	}
+	if line := l.byKey[key]; line > 0 {
+		return line
+	}
+	table, last := splitKey(key)
+	if line := l.byKey[joinKey(table, last)]; line > 0 {
+		return line
 	}
-	return headerLine
+	return l.Find(table)
 }
 
 // splitKey splits the last part off a dotted key, without its index.
--- a/setting/line_test.go
+++ b/setting/line_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// TestFindLine guards against an error that names the line of another element with the same key.
-func TestFindLine(t *testing.T) {
+// TestLinesFind guards against an error that names the line of another element with the same key.
+func TestLinesFind(t *testing.T) {
 	const text = `name = "a"
 [limits]
 body = "1B" # name = "x"
@@ -49,7 +49,7 @@
 	for _, tt := range tests {
 		t.Run(tt.key, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(setting.FindLine([]byte(text), tt.key), tt.want)
+			is.Equal(setting.NewLines([]byte(text)).Find(tt.key), tt.want)
 		})
 	}
 }
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -118,9 +118,10 @@
 	if len(problems) == 0 {
 		return nil
 	}
+	lines := NewLines(data)
 	for i := range problems {
 		problems[i].file = file
-		problems[i].line = FindLine(data, problems[i].key)
+		problems[i].line = lines.Find(problems[i].key)
 	}
 	return &Error{problems: problems}
 }
