--- a/bundle/document.go
+++ b/bundle/document.go
@@ -151,13 +151,21 @@
 	}
 }
 
+// reportAs adds a problem of the kind that the code names.
+func (c *checker) reportAs(code Code, key, format string, args ...any) {
+	c.problems = append(c.problems, setting.NewProblem(key, format, args...).WithCode(string(code)))
+}
+
 // unique reports a problem at the key if the ID was already declared.
-func (c *checker) unique(key, id string) {
+func (c *checker) unique(key, id string) { c.uniqueAs(CodeInvalid, key, id) }
+
+// uniqueAs does the same with the code of the problem.
+func (c *checker) uniqueAs(code Code, key, id string) {
 	if c.seen == nil {
 		c.seen = make(map[string]bool)
 	}
 	if c.seen[id] {
-		c.report(key, "%s is given twice", id)
+		c.reportAs(code, key, "%s is given twice", id)
 	}
 	c.seen[id] = true
 }
@@ -169,9 +177,12 @@
 	if p.KeyRetention.Std() < time.Minute {
 		c.report("policy.key_retention", "is %v, want at least 1m", p.KeyRetention.Std())
 	}
-	if p.Retries < 0 || p.Retries > 1 {
+	if !within(p.Retries, 0, 1) {
 		c.report("policy.retries", "is %g, want 0 to 1", p.Retries)
 	}
+	if !isFinite(p.Reserve) {
+		c.report("policy.reserve", "is %g, want a number of retries", p.Reserve)
+	}
 }
 
 func (c *checker) teams(d *Document) {
@@ -194,9 +205,9 @@
 			c.report(key+".hosts", "is empty")
 		}
 		for _, h := range s.Hosts {
-			c.unique(key+".hosts", "host/"+h)
+			c.uniqueAs(CodeSharedHost, key+".hosts", "host/"+h)
 		}
-		if s.Floor < 0 || s.Floor > 1 {
+		if !within(s.Floor, 0, 1) {
 			c.report(key+".floor", "is %g, want 0 to 1", s.Floor)
 		}
 	}
@@ -230,8 +241,8 @@
 			c.report(key+".timeout", "is not set")
 		}
 		shares[class.Service] += class.Share
-		if class.Share < 0 || shares[class.Service] > 1 {
-			c.report(key+".share", "shares of service %q add up to %g, want 0 to 1", class.Service, shares[class.Service])
+		if class.Share < 0 || !within(shares[class.Service], 0, 1) {
+			c.reportAs(CodeSharesExceedOne, key+".share", "shares of service %q add up to %g, want 0 to 1", class.Service, shares[class.Service])
 		}
 	}
 }
@@ -261,7 +272,7 @@
 		if !c.seen["class/"+target.Service+"/"+target.Class] {
 			c.report(targetKey+".class", "class %q of service %q is not declared", target.Class, target.Service)
 		}
-		if target.Weight < 0 {
+		if !isFinite(target.Weight) || target.Weight < 0 {
 			c.report(targetKey+".weight", "is %g, want at least 0", target.Weight)
 		}
 		totalWeight += max(0, target.Weight)
@@ -308,10 +319,13 @@
 			continue
 		}
 		if owner, taken := owners[digest]; taken && owner != caller.Name {
-			c.report(key, "entry %d belongs to caller %q already", i, owner)
+			c.reportAs(CodeSharedKey, key, "entry %d belongs to caller %q already", i, owner)
 		}
 		owners[digest] = caller.Name
 	}
 }
 
+// within reports whether a number is between two others; NaN is not.
+func within(f, low, high float64) bool { return f >= low && f <= high }
+
 func isFinite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
