Requests are ordered by share unless the settings name cost; a caller's priority counts in both

Change: the bundle doesn't choose cost any more; by share, the priority of a request's caller orders the queue of its class and decides between the first requests of the classes. Without such priorities nothing changes.

--- a/admission/controller.go
+++ b/admission/controller.go
@@ -164,7 +164,7 @@
 		}
 		return []Decision{{ID: r.ID, Reason: reason}}
 	}
-	class.queue = append(class.queue, r)
+	class.enqueue(r)
 	c.queued++
 	return c.dispatch(now, nil)
 }
@@ -190,6 +190,15 @@
 	return ""
 }
 
+// enqueue adds the request behind those of its class that are as urgent.
+func (k *class) enqueue(r Request) {
+	i := len(k.queue)
+	for i > 0 && k.queue[i-1].Priority > r.Priority {
+		i--
+	}
+	k.queue = slices.Insert(k.queue, i, r)
+}
+
 // maxQueueWait returns the maximum expected wait at which a request of the class is still queued.
 func (k *class) maxQueueWait() time.Duration {
 	if k.Objective == 0 {
@@ -367,22 +376,22 @@
 	return decisions
 }
 
-// nextClass returns the index of the class whose first queued request is started next, or -1 if no request is queued.
+// nextClass returns the index of the class whose first queued request is started next, or -1 if no request is queued. Classes with credit come
+// first; within both groups, the priority of the first request decides before the order of the classes, since a caller may have one of its own.
 func (c *Controller) nextClass() int {
-	firstQueued := -1
+	next, nextHasCredit := -1, false
 	for _, i := range c.dispatchOrder {
 		class := &c.classes[i]
 		if len(class.queue) == 0 {
 			continue
 		}
-		if class.credit > 0 && class.Share > 0 {
-			return i
-		}
-		if firstQueued < 0 {
-			firstQueued = i
+		hasCredit := class.credit > 0 && class.Share > 0
+		sameGroup := hasCredit == nextHasCredit
+		if next < 0 || hasCredit && !nextHasCredit || sameGroup && class.queue[0].Priority < c.classes[next].queue[0].Priority {
+			next, nextHasCredit = i, hasCredit
 		}
 	}
-	return firstQueued
+	return next
 }
 
 // EachRunning calls f for each running request with its ID, the index of its class or NoClass, and its start time.
--- a/node/policy.go
+++ b/node/policy.go
@@ -9,14 +9,10 @@
 	"github.com/jasminevane/jasminevane/upstream"
 )
 
-// admissionPolicy returns the policy by which gates order and refuse requests: the one of the settings, or else by cost if the bundle has
-// callers with keys.
-func (n *Node) admissionPolicy(bundleInForce *bundle.Bundle) admission.Policy {
-	switch {
-	case n.cfg.Admission.Policy != "":
+// admissionPolicy returns the policy by which gates order and refuse requests: the one of the settings, or else by share.
+func (n *Node) admissionPolicy() admission.Policy {
+	if n.cfg.Admission.Policy != "" {
 		return admission.Policy(n.cfg.Admission.Policy)
-	case bundleInForce.HasKeys():
-		return admission.ByCost
 	}
 	return admission.ByShare
 }
@@ -29,13 +25,13 @@
 
 // configureGate applies a bundle to a gate.
 func (n *Node) configureGate(gate *upstream.Gate, bundleInForce *bundle.Bundle) {
-	gate.SetPolicy(n.admissionPolicy(bundleInForce))
+	gate.SetPolicy(n.admissionPolicy())
 	gate.SetClasses(admissionClasses(bundleInForce, gate.Announcement().Service))
 }
 
 // arrivalForAdmission returns the time of arrival that is told to gates, which is zero unless they order requests by cost to callers.
 func (n *Node) arrivalForAdmission(now time.Time) time.Time {
-	if n.admissionPolicy(n.Bundle()) != admission.ByCost {
+	if n.admissionPolicy() != admission.ByCost {
 		return time.Time{}
 	}
 	return now
