--- a/quota/trouble_test.go
+++ b/quota/trouble_test.go
@@ -132,3 +132,18 @@
 		t.Errorf("%d of %d histories with one trouble admit less than %.2f, want at most 2 in 100", low, single, troubleShare)
 	}
 }
+
+// TestAdmittedShareInEachTrouble guards against refusals of what is within the limit in any history with one trouble.
+func TestAdmittedShareInEachTrouble(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := drawModel(t, 20)
+		changes := drawTroubles(t, m, 1)
+		m.run(modelTime)
+		if len(m.nodes) < minNodes {
+			return
+		}
+		if share := admittedShare(m, changes); share < troubleShare {
+			t.Fatalf("%.3f of what the limit allows was admitted, %d calls for %d requests", share, m.calls, len(m.arrived))
+		}
+	})
+}
