Log requests without a route, with the version and how long ago it was known to be the newest

A line `unrouted` has the version, the bundle's digest and the time since the node last knew that no newer version exists; `bundle` has the time from acceptance to being in force, which tells a version that waits for a lock or for the processor from one that comes late. A counter by code goes with it. No logic changes.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -30,6 +30,8 @@
 	Serve(ctx context.Context, r *Request) (*upstream.Response, error)
 	// RecordEnd records how a request ended and how long it took.
 	RecordEnd(r *Request, status int, o outcome.Outcome, err error, took time.Duration)
+	// RecordUnrouted records a request that was refused before it had a class, since it is malformed or no route of b matches.
+	RecordUnrouted(req *http.Request, id string, status int, b *bundle.Bundle, err error)
 }
 
 // Limits are the maximum sizes of a request in bytes.
@@ -62,7 +64,8 @@
 		err = checkHead(req, l.Head)
 	}
 	if err != nil {
-		d.sendProblem(w, "", err)
+		status := d.sendProblem(w, "", err)
+		f.RecordUnrouted(req, headerValue(req.Header, d.RequestIDHeader), status, bundleInForce, err)
 		return
 	}
 	if req.Body != nil && req.ContentLength != 0 {
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -20,13 +20,15 @@
 	"github.com/matryer/is"
 )
 
-// sureNode is the part of a fleet that knows the newest bundle.
+// sureNode is the part of a fleet that knows the newest bundle and records no request without a class.
 type sureNode struct{}
 
 func (sureNode) TrustsKeys() bool { return true }
 
 func (sureNode) ConfirmedNewest() bool { return true }
 
+func (sureNode) RecordUnrouted(*http.Request, string, int, *bundle.Bundle, error) {}
+
 // refusingFleet refuses all requests.
 type refusingFleet struct {
 	sureNode
@@ -104,6 +106,31 @@
 	}
 }
 
+// unroutedFleet collects the ids and statuses of the requests that were refused before they had a class.
+type unroutedFleet struct {
+	refusingFleet
+	recorded map[string]int
+}
+
+func (f unroutedFleet) RecordUnrouted(_ *http.Request, id string, status int, _ *bundle.Bundle, _ error) {
+	f.recorded[id] = status
+}
+
+// TestRequestWithoutARouteLeavesATrace guards against a refusal that no log line explains.
+func TestRequestWithoutARouteLeavesATrace(t *testing.T) {
+	is := is.New(t)
+	f := unroutedFleet{refusingFleet{bundle: parseBundle(t)}, make(map[string]int)}
+	e := echo.New()
+	d := caller.DefaultDialect()
+	caller.Mount(e, d, f, caller.Limits{Head: 32 << 10, Body: 16 << 20})
+	for id, host := range map[string]string{"r1": "s.test", "r2": "other.test"} {
+		req := httptest.NewRequest(http.MethodPost, "http://"+host+"/x", nil)
+		req.Header.Set(d.RequestIDHeader, id)
+		e.ServeHTTP(httptest.NewRecorder(), req)
+	}
+	is.Equal(f.recorded, map[string]int{"r2": http.StatusNotFound})
+}
+
 // endlessFleet serves each request with a body without end, and tells how requests ended.
 type endlessFleet struct {
 	sureNode
--- a/caller/key_test.go
+++ b/caller/key_test.go
@@ -65,6 +65,7 @@
 
 // recordingFleet serves each request and keeps the last one, with what it told of how that one ended.
 type recordingFleet struct {
+	sureNode
 	bundle              *bundle.Bundle
 	trusts, knowsNewest bool
 	next                *bundle.Bundle // comes into force while a request is authenticated, unless it is nil
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -86,9 +86,24 @@
 	if n.rollout.InForce() != n.Bundle() {
 		return false
 	}
-	freshness := n.freshness
+	return n.bundleFreshness().Within(time.Now(), limit)
+}
+
+// bundleFreshness returns the freshness of the accepted bundle; the caller holds n.mu.
+func (n *Node) bundleFreshness() rollout.Freshness {
 	if n.versionReader != nil {
-		freshness = n.versionReader.Freshness()
+		return n.versionReader.Freshness()
+	}
+	return n.freshness
+}
+
+// knownAge returns the time since which this node may lack a version, in text for the log.
+func (n *Node) knownAge(now time.Time) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	age, known := n.bundleFreshness().Age(now)
+	if !known {
+		return "never"
 	}
-	return freshness.Within(time.Now(), limit)
+	return age.String()
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -22,6 +22,7 @@
 	attempts         *prometheus.CounterVec
 	attemptLatency   *prometheus.HistogramVec
 	refusals         *prometheus.CounterVec
+	unrouted         *prometheus.CounterVec
 	healthChanges    *prometheus.CounterVec
 	liveMembers      prometheus.Gauge
 	ejectedUpstreams prometheus.Gauge
@@ -68,6 +69,9 @@
 		bundleVersion:    gauge("bundle_version", "Newest accepted version of the bundle."),
 		ownedShards:      gauge("owned_shards", "Shards of idempotency keys owned by this node."),
 		logServiceUp:     gauge("log_up", "1 while the platform's log service responds, else 0."),
+		unrouted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "jasmine", Name: "unrouted_total", Help: "Requests of callers that were refused before they had a class, by code.", ConstLabels: constLabels,
+		}, []string{"code"}),
 		versionReads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "jasmine", Name: "version_reads_total", Help: "Reads of the published versions by result: news, none or failed.",
 		}, []string{"result"}),
@@ -80,7 +84,7 @@
 	m.limitDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "jasmine", Name: "limit_decisions_total", Help: "Decisions on requests of callers with a limit.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds, m.endedStreams, m.pipelined,
+	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.unrouted, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds, m.endedStreams, m.pipelined,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/bundle"
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/outcome"
@@ -84,6 +85,27 @@
 	return label
 }
 
+// RecordUnrouted implements caller.Fleet. The line tells how long ago the node last knew that it had the newest version.
+func (n *Node) RecordUnrouted(req *http.Request, id string, status int, b *bundle.Bundle, err error) {
+	code := outcome.Code("")
+	var outcomeErr *outcome.Error
+	if errors.As(err, &outcomeErr) {
+		code = outcomeErr.Code
+	}
+	n.metrics.unrouted.WithLabelValues(string(code)).Inc()
+	if !n.requestLog.allow(false) {
+		return
+	}
+	_ = level.Info(n.logger).Log("msg", "unrouted", "id", clip(id), "host", clip(req.Host), "path", clip(req.URL.Path), "status", status, "code", code,
+		"bundle", n.bundleVersion.Load(), "digest", b.Digest(), "known", n.knownAge(time.Now()))
+}
+
+// maxLoggedBytes is the maximum length of a value that a caller has chosen, in a log line.
+const maxLoggedBytes = 128
+
+// clip cuts a value that a caller has chosen to the length that a log line may hold.
+func clip(s string) string { return s[:min(len(s), maxLoggedBytes)] }
+
 // RecordEnd implements caller.Fleet. It records a finished request in the metrics, the events and the log.
 func (n *Node) RecordEnd(r *caller.Request, status int, requestOutcome outcome.Outcome, err error, duration time.Duration) {
 	service, class := r.Match.Service.Name(), r.Match.Class.Name()
--- a/node/versions.go
+++ b/node/versions.go
@@ -169,9 +169,10 @@
 
 // installVersion puts the version that the rollout engine has accepted in force and sends a heartbeat to the neighbours.
 func (n *Node) installVersion(number uint64, source string) {
+	start := time.Now()
 	n.installBundle()
 	n.events.Add(event.Event{Kind: event.Bundle, Text: source})
-	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "result", rollout.Accepted, "source", source)
+	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "result", rollout.Accepted, "source", source, "took", time.Since(start))
 	n.mu.Lock()
 	n.versionReader.VersionKnown()
 	neighbours := n.members.Neighbours()
--- a/rollout/freshness.go
+++ b/rollout/freshness.go
@@ -13,6 +13,11 @@
 	}
 }
 
+// Age returns for how long the node has not known whether a newer version was published; known is false if it never knew.
+func (f Freshness) Age(now time.Time) (age time.Duration, known bool) {
+	return max(0, now.Sub(f.knownUntil)), !f.knownUntil.IsZero()
+}
+
 // Within reports whether the node has confirmed, at most the given time ago, that it had the newest version.
 func (f Freshness) Within(now time.Time, limit time.Duration) bool {
 	return !f.knownUntil.IsZero() && now.Sub(f.knownUntil) <= limit
