--- a/rollout/fleet_test.go
+++ b/rollout/fleet_test.go
@@ -18,6 +18,10 @@
 	longestPause  = 1200 * time.Millisecond
 	shortestPause = 100 * time.Millisecond // pause after a failed read that took longer than that
 	newsPause     = 400 * time.Millisecond // pause after a read with new versions
+	lostPause     = 400 * time.Millisecond // longest pause after a read at a position that the log has deleted
+	readerTick    = 100 * time.Millisecond // interval between checks of whether a node is to read
+	firstTick     = 20 * time.Millisecond  // the same as long as the node has no version
+	callLimit     = time.Second            // for an answer of the store, not counting the hold, by the settings
 	beatInterval  = time.Second            // interval between heartbeats to one neighbour
 	restartTime   = 500 * time.Millisecond // time until a node that lost power starts again
 	settledWindow = 3 * time.Second        // time without a fault after which the bound holds for a node
@@ -34,6 +38,7 @@
 	cutFrom                map[string]bool // nodes whose answers don't arrive
 	cutStore               bool            // its reads get no answer
 	silences               int             // how often its open connections to the store have gone silent for good, of which TCP tells nothing
+	unanswered             int             // number of its next reads that get no answer, such as while the store drops new connections
 	refused                bool            // the store refuses its reads
 	down                   bool
 	frozen                 time.Time // the node stands still until then
@@ -42,6 +47,7 @@
 	life                   int       // counts the starts
 	calls                  int       // to the store
 	failures               int       // reads that failed in a row
+	position               int       // version up to which it has read the log by itself, or 0 if it must ask for the newest one
 	reading                bool
 	nextRead               time.Time
 	nextBeat               time.Time
@@ -79,6 +85,7 @@
 	nodes    []*simNode
 	byName   map[string]*simNode
 	version  int
+	deleted  int // versions up to this one can't be read one by one any more
 	messages simQueue
 	seq      int
 	alone    bool // whether each node reads for itself
@@ -105,7 +112,7 @@
 		n.reader.SetCandidates([]string{n.name})
 	}
 	n.catchUp, n.peers, n.version = rollout.CatchUp{}, make(map[string]int), 0
-	n.down, n.reading, n.failures, n.nextRead = false, false, 0, f.now
+	n.down, n.reading, n.failures, n.nextRead, n.position = false, false, 0, f.now, 0
 	n.unsettle(f.now)
 }
 
@@ -258,14 +265,29 @@
 
 // read plays the node's reads of the store. A read that is cut off once gets no answer.
 func (f *simFleet) read(n *simNode) {
-	if n.reading || f.now.Before(n.nextRead) || !n.reader.Reads(f.now) {
+	if n.reading || f.now.Before(n.nextRead) {
 		return
 	}
-	hold := n.reader.Hold(f.now)
+	if !n.reader.Reads(f.now) {
+		n.nextRead = f.now.Add(readerTick)
+		if n.version == 0 {
+			n.nextRead = f.now.Add(firstTick)
+		}
+		return
+	}
+	hold := time.Duration(0)
+	if n.position > 0 {
+		hold = n.reader.Hold(f.now)
+	}
 	n.reader.Sent(f.now, hold)
 	n.reading = true
 	n.calls++
-	f.poll(n, simRead{sentAt: f.now, held: f.now.Add(hold), timeout: f.now.Add(hold + n.reader.AnswerTime()), silences: n.silences})
+	r := simRead{sentAt: f.now, held: f.now.Add(hold), timeout: f.now.Add(hold + min(callLimit, n.reader.AnswerTime())), silences: n.silences}
+	if n.unanswered > 0 {
+		n.unanswered--
+		r.cut = true
+	}
+	f.poll(n, r)
 }
 
 // simRead is a read of the store that isn't answered yet.
@@ -281,6 +303,20 @@
 	n.unsettle(f.now)
 }
 
+// cutStore makes a node's reads unanswered for some time.
+func (f *simFleet) cutStore(n *simNode, d time.Duration) {
+	n.cutStore, n.cutUntil = true, later(n.cutUntil, f.now.Add(d))
+	n.unsettle(f.now.Add(d))
+	f.after(d, nil, func() { n.cutStore = f.now.Before(n.cutUntil) })
+}
+
+// refuse makes the store refuse a node's reads for some time.
+func (f *simFleet) refuse(n *simNode, d time.Duration) {
+	n.refused, n.refusedUntil = true, later(n.refusedUntil, f.now.Add(d))
+	n.unsettle(f.now.Add(d))
+	f.after(d, nil, func() { n.refused = f.now.Before(n.refusedUntil) })
+}
+
 // poll checks once in a step whether a read is to be answered.
 func (f *simFleet) poll(n *simNode, r simRead) {
 	f.after(step, n, func() {
@@ -291,15 +327,19 @@
 			}
 		}
 		lost := r.cut || r.silences != n.silences
-		news := n.version < f.version
 		switch {
 		case n.refused && !lost || lost && f.now.After(r.timeout):
 			pause := max(shortestPause, min(longestPause, failedPause<<n.failures)-f.now.Sub(r.sentAt))
 			n.failures++
 			f.endRead(n, pause, n.reader.Failed)
-		case !lost && (news || !f.now.Before(r.held)):
+		case !lost && n.position > 0 && n.position < f.deleted:
+			n.position = 0
+			f.endRead(n, lostPause, n.reader.Failed)
+		case !lost && (n.position < f.version || !f.now.Before(r.held)):
 			version := f.version
+			news := n.position < version
 			f.after(callTime/2, n, func() {
+				n.position = version
 				f.learn(n, version)
 				n.failures = 0
 				pause := time.Duration(0)
--- a/rollout/reader_test.go
+++ b/rollout/reader_test.go
@@ -116,6 +116,50 @@
 	}
 }
 
+// TestVersionsArriveThoughTheFirstReadFails loses the readers, or all nodes' reads, without a sign and lets the next read of each node fail once. It
+// guards against a way back whose steps are each within the bound and their sum is not.
+func TestVersionsArriveThoughTheFirstReadFails(t *testing.T) {
+	loseReaders := func(f *simFleet) { f.nodes[0].cutStore, f.nodes[1].cutStore = true, true }
+	silenceAll := func(f *simFleet) {
+		for _, n := range f.nodes {
+			f.silence(n)
+		}
+	}
+	failOnce := func(f *simFleet) {
+		for _, n := range f.nodes {
+			n.unanswered = 1
+		}
+	}
+	deletePosition := func(f *simFleet) { f.deleted = f.version }
+	tests := []struct {
+		name       string
+		lose, fail func(f *simFleet)
+	}{
+		{"readers lost, the position deleted", loseReaders, deletePosition},
+		{"readers lost, a read without an answer", loseReaders, failOnce},
+		{"all connections silent, the position deleted", silenceAll, deletePosition},
+		{"all connections silent, a read without an answer", silenceAll, failOnce},
+	}
+	for _, apply := range []time.Duration{applyBound, 3 * time.Second} {
+		for _, tt := range tests {
+			t.Run(fmt.Sprintf("%v/%s", apply, tt.name), func(t *testing.T) {
+				rnd := rand.New(rand.NewPCG(1, 1))
+				for range 100 {
+					f := newSimFleet(12, apply, false)
+					f.run(8*time.Second + time.Duration(rnd.IntN(6000))*time.Millisecond)
+					f.version++
+					f.run(2 * time.Second)
+					tt.lose(f)
+					tt.fail(f)
+					if took := f.publish(); took >= apply {
+						t.Fatalf("in force after %v", took)
+					}
+				}
+			})
+		}
+	}
+}
+
 // reading returns the number of nodes other than the first that read now.
 func (f *simFleet) reading() int {
 	count := 0
@@ -206,25 +250,31 @@
 			for range rapid.IntRange(0, 4).Draw(rt, "faults") {
 				check(time.Duration(rapid.IntRange(0, 8).Draw(rt, "after")) * step)
 				n, d := node(), time.Duration(rapid.IntRange(1, 60).Draw(rt, "tenths"))*100*time.Millisecond
-				switch rapid.SampledFrom([]string{"freeze", "power", "store", "refuse", "silence", "silence of all"}).Draw(rt, "fault") {
+				switch rapid.SampledFrom([]string{"freeze", "power", "store", "refuse", "silence", "silence of all", "store of all", "refuse all", "delete"}).Draw(rt, "fault") {
 				case "silence":
 					f.silence(n)
 				case "silence of all":
 					for _, n := range f.nodes {
 						f.silence(n)
 					}
+				case "delete":
+					f.deleted = f.version
+				case "store of all":
+					for _, n := range f.nodes {
+						f.cutStore(n, d)
+					}
+				case "refuse all":
+					for _, n := range f.nodes {
+						f.refuse(n, d)
+					}
 				case "freeze":
 					f.freeze(n, d)
 				case "power":
 					f.restart(n)
 				case "store":
-					n.cutStore, n.cutUntil = true, later(n.cutUntil, f.now.Add(d))
-					n.unsettle(f.now.Add(d))
-					f.after(d, nil, func() { n.cutStore = f.now.Before(n.cutUntil) })
+					f.cutStore(n, d)
 				case "refuse":
-					n.refused, n.refusedUntil = true, later(n.refusedUntil, f.now.Add(d))
-					n.unsettle(f.now.Add(d))
-					f.after(d, nil, func() { n.refused = f.now.Before(n.refusedUntil) })
+					f.refuse(n, d)
 				}
 			}
 			check(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * step)
