A version is in force in time though the first read of a node fails

What callers saw: one node answered 404 for a route 3.77 s after the version that added it was acknowledged, with the bound of 3 s. Cause: each step of a node's way back had a limit below the bound, their sum had not. A node that relies on a reader which lost the store without a sign believes it for up to 0.88 of the bound; its first read was held, so a missing answer showed only after 2 s, and a position that the log had deleted cost a further pause of 0.2 to 0.4 s.

Change: a read that isn't answered 0.06 of the bound beyond its hold is made once more over a new connection, beside the first (retry.Race); the first read after a pause isn't held at any node; a lost position costs at most 0.1 s unless it was given out just before; a node whose lease ends reads at that moment and not at the next tick. Why it works: the longest way is the word of a reader (0.88) and one repeat (0.06); nothing in it waits for a missing answer any more.

--- a/node/protocols.go
+++ b/node/protocols.go
@@ -15,12 +15,13 @@
 	platformProtocols = "store"
 )
 
-// protocols holds the protocols that a node uses with callers, upstreams and the platform. With defaultProtocols, configSource,
+// protocols holds the protocols that a node uses with callers, upstreams and the platform. With defaultProtocols, the sources,
 // directory and logClient are nil.
 type protocols struct {
 	caller       caller.Dialect
 	upstream     upstream.Dialect
 	configSource *platform.ConfigSource
+	spareSource  *platform.ConfigSource // reads the same over connections of its own
 	directory    *platform.Directory
 	logClient    *platform.Client // of configSource and directory
 }
@@ -35,6 +36,7 @@
 		caller:       platform.CallerDialect(),
 		upstream:     platform.UpstreamDialect(),
 		configSource: platform.NewConfigSource(logClient, policy),
+		spareSource:  platform.NewConfigSource(logClient.WithNewConnections(), policy),
 		directory:    platform.NewDirectory(logClient),
 		logClient:    logClient,
 	}
--- a/node/versionread.go
+++ b/node/versionread.go
@@ -38,3 +38,9 @@
 		_ = level.Info(n.logger).Log("msg", "read", "from", r.from, "hold", r.hold, "took", took, "versions", r.versions)
 	}
 }
+
+// recordReadRepeated counts and logs that a read which has no answer is made once more.
+func (n *Node) recordReadRepeated(r versionRead) {
+	n.metrics.versionReads.WithLabelValues("repeated").Inc()
+	_ = level.Info(n.logger).Log("msg", "read repeated", "from", r.from, "hold", r.hold, "after", time.Since(r.sentAt))
+}
--- a/node/versions.go
+++ b/node/versions.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/platform"
+	"github.com/jasminevane/jasminevane/retry"
 	"github.com/jasminevane/jasminevane/rollout"
 )
 
@@ -34,42 +35,46 @@
 	return max(rand.N(shortestDelay), b.delay/2+rand.N(b.delay)-took)
 }
 
+// logPosition is the position from which a node reads on in the log of the published versions. The zero value is unknown.
+type logPosition struct {
+	cursor platform.Cursor
+	known  bool
+	since  time.Time // when it became known
+}
+
+// newVersions is the answer to a read: the versions, an error for each invalid one, and the position after them.
+type newVersions struct {
+	versions []platform.Version
+	rejected []error
+	next     platform.Cursor
+}
+
+func (v newVersions) count() int { return len(v.versions) + len(v.rejected) }
+
 // followVersions reads the published versions whenever this node is to read them, until ctx ends.
 func (n *Node) followVersions(ctx context.Context) {
 	var b backoff
-	var next platform.Cursor
-	started := false // whether next is known
+	var position logPosition
 	for n.awaitReading(ctx) {
-		if started {
-			started = n.readVersions(ctx, &next, &b)
-			continue
-		}
-		sentAt, answerTime := n.recordNewestSent()
-		readCtx, cancel := context.WithTimeout(ctx, answerTime)
-		versions, position, rejected, err := n.protocols.configSource.Newest(readCtx)
-		cancel()
-		if ctx.Err() != nil {
-			continue
-		}
-		n.recordRead(versionRead{sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
-		if !n.callSucceeded(ctx, err, sentAt, &b) {
-			continue
+		if position.known {
+			n.readVersions(ctx, &position, &b)
+		} else {
+			n.readNewest(ctx, &position, &b)
 		}
-		next, started = position, true
-		n.applyVersions(versions, rejected)
 	}
 }
 
 // awaitReading waits until this node is to read the published versions; it returns false once ctx has ended.
 func (n *Node) awaitReading(ctx context.Context) bool {
 	for ctx.Err() == nil {
+		now := time.Now()
 		n.mu.Lock()
-		reads := n.versionReader.Reads(time.Now())
+		reads, wait := n.versionReader.Reads(now), n.versionReader.ReadsIn(now, n.readerInterval())
 		n.mu.Unlock()
 		if reads {
 			return true
 		}
-		n.sleep(ctx, n.readerInterval())
+		n.sleep(ctx, wait)
 	}
 	return false
 }
@@ -82,57 +87,88 @@
 	return readerTick
 }
 
-// readVersions reads the versions from next on, waits for the first, and moves next. It returns false if next means nothing in the log.
-func (n *Node) readVersions(ctx context.Context, next *platform.Cursor, b *backoff) bool {
+// readNewest reads the newest version, and sets the position after it.
+func (n *Node) readNewest(ctx context.Context, position *logPosition, b *backoff) {
+	sentAt := time.Now()
+	answer, err := n.read(ctx, versionRead{sentAt: sentAt}, func(ctx context.Context, s *platform.ConfigSource) (v newVersions, err error) {
+		v.versions, v.next, v.rejected, err = s.Newest(ctx)
+		return v, err
+	})
+	if ctx.Err() != nil || !n.callSucceeded(ctx, err, sentAt, b) {
+		return
+	}
+	*position = logPosition{cursor: answer.next, known: true, since: time.Now()}
+	n.applyVersions(answer)
+}
+
+// readVersions reads the versions from the position on, waits for the first, and moves the position, which becomes unknown if it means
+// nothing in the log.
+func (n *Node) readVersions(ctx context.Context, position *logPosition, b *backoff) {
 	sentAt := time.Now()
 	n.mu.Lock()
-	hold, answerTime := n.versionReader.Hold(sentAt), n.versionReader.AnswerTime()
-	n.versionReader.Sent(sentAt, hold)
+	hold := n.versionReader.Hold(sentAt)
 	n.mu.Unlock()
-	readCtx, cancel := context.WithTimeout(ctx, hold+answerTime)
-	defer cancel()
-	versions, after, rejected, err := n.protocols.configSource.Follow(readCtx, *next, hold)
-	if ctx.Err() != nil {
-		return true
-	}
-	n.recordRead(versionRead{from: next.Offset, hold: hold, sentAt: sentAt, versions: len(versions) + len(rejected), err: err})
-	if platform.LostPosition(err) {
+	from := position.cursor
+	answer, err := n.read(ctx, versionRead{from: from.Offset, hold: hold, sentAt: sentAt}, func(ctx context.Context, s *platform.ConfigSource) (v newVersions, err error) {
+		v.versions, v.next, v.rejected, err = s.Follow(ctx, from, hold)
+		return v, err
+	})
+	switch {
+	case ctx.Err() != nil:
+	case platform.LostPosition(err):
 		n.recordReadFailed()
-		n.sleep(ctx, batchDelay/2+rand.N(batchDelay/2))
-		return false
+		n.sleep(ctx, lostPositionDelay(time.Since(position.since)))
+		position.known = false
+	case n.callSucceeded(ctx, err, sentAt, b):
+		position.cursor = answer.next
+		n.applyVersions(answer)
+		if answer.count() > 0 {
+			n.sleep(ctx, batchDelay)
+		}
 	}
-	if !n.callSucceeded(ctx, err, sentAt, b) {
-		return true
+}
+
+// lostPositionDelay returns the delay until a node asks for the newest version whose position, known for the given time, means nothing in
+// the log any more. It is short, since a version may be missing, unless the log service has just given out that position.
+func lostPositionDelay(known time.Duration) time.Duration {
+	if known < batchDelay {
+		return batchDelay/2 + rand.N(batchDelay/2)
 	}
-	*next = after
-	n.applyVersions(versions, rejected)
-	if len(versions)+len(rejected) > 0 {
-		n.sleep(ctx, batchDelay)
+	return rand.N(shortestDelay)
+}
+
+// read makes a read, and makes it once more over a new connection if it isn't answered soon: the connection may have gone silent.
+func (n *Node) read(ctx context.Context, r versionRead, call func(context.Context, *platform.ConfigSource) (newVersions, error)) (newVersions, error) {
+	n.mu.Lock()
+	n.versionReader.Sent(r.sentAt, r.hold)
+	answerTime, repeatTime := n.versionReader.AnswerTime(), n.versionReader.RepeatTime()
+	n.mu.Unlock()
+	readCtx, cancel := context.WithTimeout(ctx, r.hold+answerTime)
+	defer cancel()
+	answer, err := retry.Race(readCtx, r.hold+repeatTime, func(ctx context.Context) (newVersions, error) {
+		return call(ctx, n.protocols.configSource)
+	}, func(ctx context.Context) (newVersions, error) {
+		n.recordReadRepeated(r)
+		return call(ctx, n.protocols.spareSource)
+	})
+	if ctx.Err() == nil {
+		r.versions, r.err = answer.count(), err
+		n.recordRead(r)
 	}
-	return true
+	return answer, err
 }
 
 // applyVersions applies an answer of the log service and records that it was applied.
-func (n *Node) applyVersions(versions []platform.Version, rejected []error) {
-	for _, e := range rejected {
+func (n *Node) applyVersions(answer newVersions) {
+	for _, e := range answer.rejected {
 		_ = level.Warn(n.logger).Log("msg", "version refused", "err", e)
 	}
-	for _, v := range versions {
+	for _, v := range answer.versions {
 		n.acceptVersion(v)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.versionReader.Answered(time.Now(), len(versions)+len(rejected) > 0)
-}
-
-// recordNewestSent records that the newest version is requested, which the log service doesn't hold. It returns the time, and how long the
-// answer may take.
-func (n *Node) recordNewestSent() (now time.Time, answerTime time.Duration) {
-	now = time.Now()
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.versionReader.Sent(now, 0)
-	return now, n.versionReader.AnswerTime()
+	n.versionReader.Answered(time.Now(), answer.count() > 0)
 }
 
 func (n *Node) recordReadFailed() {
--- a/rollout/reader.go
+++ b/rollout/reader.go
@@ -22,6 +22,7 @@
 const (
 	holdShare   = 0.33 // how long the log service may hold a read
 	answerShare = 0.50 // how long an answer may take beyond that: nothing but time tells that a connection has gone silent
+	repeatShare = 0.06 // how long an answer may take beyond the hold until the read is made once more, over another connection
 	proofShare  = 0.48 // age of what a candidate knows up to which it confirms
 	leaseShare  = 0.40 // time after a request for confirmation during which its answer holds
 	askShare    = 0.20 // interval between requests while they are answered
@@ -39,7 +40,7 @@
 	candidates []string  // nodes that read for the data centre, by preference
 	preferred  int       // index of the candidate that is asked next
 
-	hold, answerTime, proofTime, leaseTime, askInterval, askTimeout time.Duration // see the shares above
+	hold, answerTime, repeatTime, proofTime, leaseTime, askInterval, askTimeout time.Duration // see the shares above
 
 	leaseUntil  time.Time     // another node has confirmed that it reads; holds until then
 	demandUntil time.Time     // other nodes rely on this node until then
@@ -60,7 +61,7 @@
 	share := func(s float64) time.Duration { return time.Duration(s * float64(apply)) }
 	return &Reader{
 		self: self, startedAt: now, firstRead: now.Add(time.Duration(rnd.Int64N(int64(maxFirstDelay)))),
-		hold: share(holdShare), answerTime: share(answerShare), proofTime: share(proofShare), leaseTime: share(leaseShare), askInterval: share(askShare), askTimeout: share(waitShare),
+		hold: share(holdShare), answerTime: share(answerShare), repeatTime: share(repeatShare), proofTime: share(proofShare), leaseTime: share(leaseShare), askInterval: share(askShare), askTimeout: share(waitShare),
 	}
 }
 
@@ -91,23 +92,27 @@
 
 func (r *Reader) first() bool { return len(r.candidates) > 0 && r.candidates[0] == r.self }
 
-// Hold returns how long the log service may hold the next read. The hold is short at every node, since a read may never be answered. A candidate's first read after a pause or after new versions isn't held,
-// so that it can confirm soon that it knows the newest one.
+// Hold returns how long the log service may hold the next read. The hold is short at every node, since a read may never be answered. The
+// first read after a pause, after new versions or after a failure isn't held: a node that begins to read may lack a version, and a missing answer to
+// a read that isn't held is noticed at once.
 func (r *Reader) Hold(now time.Time) time.Duration {
-	if r.reliedUpon() {
-		return max(0, r.hold-now.Sub(r.currentAt))
+	return max(0, r.hold-now.Sub(r.currentAt))
+}
+
+// RepeatTime returns how long the answer to a read may take, not counting the hold, before the read is made once more in parallel.
+func (r *Reader) RepeatTime() time.Duration { return r.repeatTime }
+
+// ReadsIn returns the time after which Reads may return true for want of a confirmation, at most limit.
+func (r *Reader) ReadsIn(now time.Time, limit time.Duration) time.Duration {
+	if left := r.leaseUntil.Sub(now); left > 0 {
+		return min(left, limit)
 	}
-	return r.hold
+	return limit
 }
 
 // AnswerTime returns how long the answer to a read may take, not counting the hold, before the read is given up.
 func (r *Reader) AnswerTime() time.Duration { return r.answerTime }
 
-// reliedUpon reports whether other nodes may rely on this one.
-func (r *Reader) reliedUpon() bool {
-	return len(r.candidates) > 1 && slices.Contains(r.candidates, r.self)
-}
-
 // Sent records that a read was sent, which the log service may hold for the given time.
 func (r *Reader) Sent(now time.Time, hold time.Duration) { r.sentAt, r.sentHold = now, hold }
 
