A failed response that is retried gives its slot back

Cause: the dispatcher dropped a 5xx response of an idempotent request, after which it made another attempt, without closing its body; a body that isn't buffered holds its slot until it is closed. Change: each result that isn't returned is discarded in one place, with its context, also where no further attempt is made but others are pending.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -32,6 +32,14 @@
 	summary attemptSummary
 }
 
+// discard ends an attempt whose response, if it has one, isn't sent to the caller. A response that isn't closed holds its slot at the upstream.
+func (r *attemptResult) discard() {
+	if r.resp != nil && r.err == nil {
+		_ = r.resp.Reader().Close()
+	}
+	r.cancel()
+}
+
 // dispatcher runs the attempts of one request. It retries after a failure if the request allows it,
 // and sends hedged attempts in parallel if an attempt is slow and the request is idempotent.
 type dispatcher struct {
@@ -84,11 +92,13 @@
 				return d.finish(res)
 			}
 			if ctx.Err() == nil && d.prepareRetry(res) && d.launchAttempt(ctx, false) == nil {
+				res.discard()
 				continue
 			}
 			if d.pendingAttempts == 0 {
 				return d.finish(res)
 			}
+			res.discard()
 		case <-hedgeTimer.C:
 			if !d.canHedge() {
 				continue
@@ -300,9 +310,7 @@
 	go func() {
 		for range unfinishedAttempts {
 			lateResult := <-d.results
-			if lateResult.resp != nil && lateResult.err == nil {
-				_ = lateResult.resp.Reader().Close()
-			}
+			lateResult.discard()
 		}
 	}()
 	winnerIndex := len(d.cancelFuncs)
