--- a/bundle/caller.go
+++ b/bundle/caller.go
@@ -54,8 +54,8 @@
 // LimitedCallers returns the number of callers that have a rate limit.
 func (b *Bundle) LimitedCallers() int { return b.limited }
 
-// HasKeys reports whether any caller has a key, so that requests must carry one.
-func (b *Bundle) HasKeys() bool { return len(b.keys) > 0 }
+// RequiresKeys reports whether requests must carry a key, except on public routes: any caller has one, or the policy says so.
+func (b *Bundle) RequiresKeys() bool { return b.policy.spec.Keyed || len(b.keys) > 0 }
 
 // Authenticate returns the caller to which the key belongs. The digest of the key is looked up, so that the time of the lookup tells
 // nothing of the keys.
--- a/bundle/caller_test.go
+++ b/bundle/caller_test.go
@@ -30,7 +30,7 @@
 rate = 0.0
 `, bundle.KeyDigest("a"), strings.ToUpper(bundle.KeyDigest("b")), bundle.KeyDigest("c"))))
 	is.NoErr(err)
-	is.True(b.HasKeys())
+	is.True(b.RequiresKeys())
 	tests := []struct{ key, want string }{
 		{"a", "two"}, {"b", "two"}, {"c", "Upper:Case"}, {"d", ""}, {"", ""}, {bundle.KeyDigest("a"), ""},
 	}
@@ -49,7 +49,7 @@
 	is.True(!ok && !plain.Limited())
 	withoutKeys, err := bundle.Parse("b.toml", []byte(validBundle+"[[caller]]\nname = \"keyless\"\nrate = 1\n"))
 	is.NoErr(err)
-	is.True(!withoutKeys.HasKeys() && !bundle.Empty().HasKeys())
+	is.True(!withoutKeys.RequiresKeys() && !bundle.Empty().RequiresKeys())
 }
 
 // TestKeyProblemsDoNotQuoteThem guards against the keys in clear that an operator writes in place of digests showing up in error texts.
@@ -105,8 +105,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if applied.HasKeys() != (len(owners) > 0) {
-			t.Fatal("HasKeys is wrong")
+		if applied.RequiresKeys() != (len(owners) > 0) {
+			t.Fatal("RequiresKeys is wrong")
 		}
 		for caller := range 5 {
 			for k := range 4 {
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -32,7 +32,7 @@
 	c.services()
 	c.routes()
 	c.callers(after)
-	if !before.HasKeys() && after.HasKeys() {
+	if !before.RequiresKeys() && after.RequiresKeys() {
 		f.add(Warning, CodeKeysRequired, "caller", "requests need a key from now on, except on public routes")
 	}
 	slices.SortStableFunc(f, func(a, b Finding) int { return strings.Compare(a.Place, b.Place) })
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -33,6 +33,7 @@
 	KeyRetention setting.Duration `toml:"key_retention" json:"key_retention"`
 	Retries      float64          `toml:"retries" json:"retries"`           // ratio of retries to requests
 	Reserve      float64          `toml:"reserve" json:"reserve,omitempty"` // fleet-wide retries of one service per window, on top of the ratio
+	Keyed        bool             `toml:"keyed" json:"keyed,omitempty"`     // requests need a key also while no caller has one
 	LinkBytes    setting.Size     `toml:"link_bytes" json:"link_bytes"`     // limit in bytes/s from one node to other regions; 0 for none
 	Head         setting.Size     `toml:"head" json:"head,omitempty"`       // maximum size in bytes of the head of a request; 0 for that of the node's settings
 	Body         setting.Size     `toml:"body" json:"body,omitempty"`       // maximum size in bytes of the body of a request; 0 for that of the node's settings
--- a/node/callerkey_test.go
+++ b/node/callerkey_test.go
@@ -38,7 +38,7 @@
 		fmt.Fprintf(w, "%d %q %q", executions.Add(1), h.Values("Caller"), h.Values("Authorization"))
 	})
 	f.waitFor("owners", func() bool { return f.status(nodeA).Serving+f.status(nodeB).Serving == 1024 })
-	f.waitFor("the bundle", func() bool { return nodeB.Bundle().HasKeys() })
+	f.waitFor("the bundle", func() bool { return nodeB.Bundle().RequiresKeys() })
 	for i := range 10 {
 		key := fmt.Sprintf("order-%d", i)
 		for _, caller := range []string{"1", "2"} {
--- a/node/policy.go
+++ b/node/policy.go
@@ -20,7 +20,7 @@
 // nestedClass reports whether the requests of a class are calls of upstreams that are running other requests: where callers have keys, only
 // these calls have none.
 func nestedClass(bundleInForce *bundle.Bundle, class *bundle.Class) bool {
-	return bundleInForce.HasKeys() && class.Public()
+	return bundleInForce.RequiresKeys() && class.Public()
 }
 
 // configureGate applies a bundle to a gate.
