--- a/membership/neighbour.go
+++ b/membership/neighbour.go
@@ -89,6 +89,19 @@
 	return records
 }
 
+// PushTargets returns the records of the nodes to which this node sends news that each receiver passes on: the neighbours and the nodes at half,
+// a quarter and so on of the way round the ring of the data centre. News reaches a ring of n nodes in about log2(n) steps, where
+// neighbours alone take n/4.
+func (e *Engine) PushTargets() []Member {
+	targets := e.Neighbours()
+	own := e.index.ring(e.self.DataCentre)
+	i := own.indexOf(e.self)
+	for k := len(own.nodes) / 4; k > ringSuccessorCount; k /= 2 {
+		targets = append(targets, own.at(i+k).Member)
+	}
+	return targets
+}
+
 // randomResponsiveNodes returns up to n random nodes, other than this node and skip, that are alive and whose last heartbeat did
 // not fail.
 func (e *Engine) randomResponsiveNodes(n int, skip *memberState) []*memberState {
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -164,17 +164,17 @@
 	if len(newEntries) == 0 {
 		return
 	}
-	n.pushToNeighbours(neighbours, message)
+	n.push(neighbours, message)
 }
 
-// pushToNeighbours sends all neighbours a heartbeat with the new log entries, without waiting for the next regular one.
-func (n *Node) pushToNeighbours(neighbours []membership.Member, message membership.Message) {
-	for _, neighbour := range neighbours {
-		n.spawn(func() { n.pushTo(neighbour.Name, neighbour.Address, message) })
+// push sends the nodes a heartbeat with the new log entries, without waiting for the next regular one.
+func (n *Node) push(targets []membership.Member, message membership.Message) {
+	for _, to := range targets {
+		n.spawn(func() { n.pushTo(to.Name, to.Address, message) })
 	}
 }
 
-// pushTo sends a heartbeat with the new log entries to one neighbour.
+// pushTo sends a heartbeat with the new log entries to one node.
 func (n *Node) pushTo(name, address string, message membership.Message) {
 	n.mu.Lock()
 	heartbeat := n.newHeartbeat(message, name)
--- a/node/versions.go
+++ b/node/versions.go
@@ -189,7 +189,7 @@
 	return true
 }
 
-// acceptVersion puts a version in force if it is newer than the current one, and sends a heartbeat to the neighbours.
+// acceptVersion puts a version in force if it is newer than the current one.
 func (n *Node) acceptVersion(v platform.Version) {
 	n.mu.Lock()
 	accepted := n.rollout.Publish(v.Number, v.Bundle)
@@ -203,7 +203,7 @@
 	n.installVersion(v.Number, "store")
 }
 
-// installVersion puts the version that the rollout engine has accepted in force and sends a heartbeat to the neighbours.
+// installVersion puts the version that the rollout engine has accepted in force and tells other nodes, which pass it on.
 func (n *Node) installVersion(number uint64, source string) {
 	start := time.Now()
 	n.installBundle()
@@ -211,8 +211,8 @@
 	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "result", rollout.Accepted, "source", source, "took", time.Since(start))
 	n.mu.Lock()
 	n.versionReader.VersionKnown()
-	neighbours := n.members.Neighbours()
+	targets := n.members.PushTargets()
 	msg := n.members.Heartbeat()
 	n.mu.Unlock()
-	n.pushToNeighbours(neighbours, msg)
+	n.push(targets, msg)
 }
