A lost node holds no slot at the gates of others for longer than its requests last

Cause: a node wrote responses to another one, and read bodies from it, without a deadline; each held its slot. Change: both end a second after the deadline of the request, or after the response came.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -218,6 +218,18 @@
 	Keyed(ctx context.Context, k *KeyedRequest) (*upstream.Response, error)
 }
 
+// lateTransfer is the time after the deadline of a forwarded request, or after its response came, in which the rest of its body or of the response may
+// pass. Until then the request may hold a slot, also if the other node is lost.
+const lateTransfer = time.Second
+
+// latestTransfer returns the end of a transfer that begins now and belongs to a request with the deadline.
+func latestTransfer(now, deadline time.Time) time.Time {
+	if deadline.After(now) {
+		now = deadline
+	}
+	return now.Add(lateTransfer)
+}
+
 // ForwardHandler returns the HTTP handler of forwarded requests.
 func ForwardHandler(r Receiver) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -226,6 +238,8 @@
 			sendError(w, nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err))
 			return
 		}
+		rc := http.NewResponseController(w)
+		_ = rc.SetReadDeadline(latestTransfer(time.Now(), a.Deadline)) // fails if the connection is closed, and then reading fails, too
 		resp, err := dispatch(r, req, a)
 		if err != nil {
 			sendError(w, resp, err)
@@ -234,6 +248,7 @@
 		if resp.Load != "" {
 			w.Header().Set(hopLoad, resp.Load)
 		}
+		_ = rc.SetWriteDeadline(latestTransfer(time.Now(), a.Deadline))
 		if err := resp.Send(w); err != nil {
 			panic(http.ErrAbortHandler) // the other node must not mistake a truncated response for a complete one
 		}
