--- a/jasminelab/fakeupstream/protocol.go
+++ b/jasminelab/fakeupstream/protocol.go
@@ -69,6 +69,7 @@
 type heartbeatInfo struct {
 	Service string `json:"service"`
 	Version string `json:"version"`
+	Zone    string `json:"zone"`
 	Slots   int    `json:"slots"`
 }
 
@@ -87,7 +88,7 @@
 	body, err := json.Marshal(heartbeat{
 		Address: ann.Address,
 		Born:    ann.Incarnation,
-		Info:    heartbeatInfo{Service: ann.Service, Version: "v1", Slots: ann.Slots},
+		Info:    heartbeatInfo{Service: ann.Service, Version: "v1", Zone: "z", Slots: ann.Slots},
 		Status:  heartbeatStatus{State: string(state), Seq: ann.Seq, WarmupRemaining: fmt.Sprintf("%dms", warmup.Milliseconds())},
 	})
 	if err != nil {
