The name of a tenant holds no version back

Cause: a bundle took visible ASCII without slashes only, and one bad entry refused the whole version. The name is escaped in the scope of idempotency keys, where a slash separates.

--- a/bundle/document.go
+++ b/bundle/document.go
@@ -302,11 +302,15 @@
 	}
 }
 
-// callerName reports a problem if the name can't be the value of a header and the first part of the scope of an idempotency key.
+// ValidCallerName reports whether a name can be the value of a header: it has no control characters and no space at its ends, and is not too long.
+func ValidCallerName(name string) bool {
+	control := strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == 0x7f })
+	return name != "" && len(name) <= maxCallerNameLength && !control && strings.Trim(name, " ") == name
+}
+
 func (c *checker) callerName(key, name string) {
-	invalidChar := strings.ContainsFunc(name, func(r rune) bool { return r <= ' ' || r > '~' || r == '/' })
-	if name == "" || len(name) > maxCallerNameLength || invalidChar {
-		c.report(key, "%q is not a name of 1 to %d visible ASCII characters without slashes", name, maxCallerNameLength)
+	if !ValidCallerName(name) {
+		c.report(key, "%q is not a name of 1 to %d bytes without control characters and without spaces at its ends", name, maxCallerNameLength)
 	}
 }
 
--- a/node/keys.go
+++ b/node/keys.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"sync"
 	"time"
@@ -56,7 +57,7 @@
 // retries until the deadline of the request.
 func (n *Node) serveKeyed(ctx context.Context, j *forwardedRequest, r *caller.Request) (*upstream.Response, error) {
 	k := &peer.KeyedRequest{
-		Key:          r.Caller + "/" + j.match.Service.Name() + "/" + r.Key,
+		Key:          url.PathEscape(r.Caller) + "/" + j.match.Service.Name() + "/" + r.Key,
 		FirstAttempt: r.FirstAttempt,
 		Attempt:      (&dispatcher{req: j}).newAttempt(0),
 	}
