--- a/node/versions.go
+++ b/node/versions.go
@@ -35,8 +35,8 @@
 	return max(rand.N(shortestDelay), b.delay/2+rand.N(b.delay)-took)
 }
 
-// logPosition is the position from which a node reads on in the log of the published versions. The zero value is unknown.
-type logPosition struct {
+// readPosition is the position from which a node reads on in the log of the published versions. The zero value is unknown.
+type readPosition struct {
 	cursor platform.Cursor
 	known  bool
 	since  time.Time // when it became known
@@ -54,7 +54,7 @@
 // followVersions reads the published versions whenever this node is to read them, until ctx ends.
 func (n *Node) followVersions(ctx context.Context) {
 	var b backoff
-	var position logPosition
+	var position readPosition
 	for n.awaitReading(ctx) {
 		if position.known {
 			n.readVersions(ctx, &position, &b)
@@ -88,7 +88,7 @@
 }
 
 // readNewest reads the newest version, and sets the position after it.
-func (n *Node) readNewest(ctx context.Context, position *logPosition, b *backoff) {
+func (n *Node) readNewest(ctx context.Context, position *readPosition, b *backoff) {
 	sentAt := time.Now()
 	answer, err := n.read(ctx, versionRead{sentAt: sentAt}, func(ctx context.Context, s *platform.ConfigSource) (v newVersions, err error) {
 		v.versions, v.next, v.rejected, err = s.Newest(ctx)
@@ -97,13 +97,13 @@
 	if ctx.Err() != nil || !n.callSucceeded(ctx, err, sentAt, b) {
 		return
 	}
-	*position = logPosition{cursor: answer.next, known: true, since: time.Now()}
+	*position = readPosition{cursor: answer.next, known: true, since: time.Now()}
 	n.applyVersions(answer)
 }
 
 // readVersions reads the versions from the position on, waits for the first, and moves the position, which becomes unknown if it means
 // nothing in the log.
-func (n *Node) readVersions(ctx context.Context, position *logPosition, b *backoff) {
+func (n *Node) readVersions(ctx context.Context, position *readPosition, b *backoff) {
 	sentAt := time.Now()
 	n.mu.Lock()
 	hold := n.versionReader.Hold(sentAt)
