One entry of a configuration holds no version back

The cause stayed: whatever a bundle can't express in any one entry refused the whole version (parseConfig returned an error for each).

Change: lists are decoded element by element. An entry that can't be used costs that entry only and opens nothing: a tenant or a service is left out; a route is closed, a new kind of route of the bundle, which refuses its requests as not run (503 route-closed), so that they don't fall to a route with a shorter prefix. Names of services are as free as those of callers, up to 1024 bytes, and are escaped in the keys of entries and in the scope of idempotency keys, where slashes and spaces separate: two names never become one, and the owner of a service is still found. A version without routes is valid and drops them. The line "entry refused", a counter and errors of jasminectl check tell of each.

Why it works: only the version, valid JSON and the kinds of the lists are left to refuse a version as a whole; what is built from the rest is checked by the same rules as before, also at nodes that get it from others.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -189,10 +189,10 @@
 		putEntry("team/"+t.Name, t)
 	}
 	for _, s := range d.Services {
-		putEntry("service/"+s.Name, s)
+		putEntry(serviceKey(s.Name), s)
 	}
 	for _, c := range d.Classes {
-		putEntry("class/"+c.Service+"/"+c.Name, c)
+		putEntry(classKey(c.Service, c.Name), c)
 	}
 	for _, r := range d.Routes {
 		putEntry(r.key(), r)
--- a/bundle/delta.go
+++ b/bundle/delta.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"net/url"
 	"slices"
 	"strings"
 )
@@ -60,17 +61,24 @@
 // and whether it also changes entries that belong to no service.
 func (d Delta) Services() (services []string, global bool) {
 	names := make(map[string]bool)
+	add := func(escaped string) {
+		name, err := url.PathUnescape(escaped)
+		if err != nil {
+			name = escaped // not the key of an entry that a document has
+		}
+		names[name] = true
+	}
 	addKey := func(key string) {
 		entryType, rest, _ := strings.Cut(key, "/")
 		switch entryType {
 		case "service":
-			names[rest] = true
+			add(rest)
 		case "class":
 			name, _, _ := strings.Cut(rest, "/")
-			names[name] = true
+			add(name)
 		case "route":
 			name, _, _ := strings.Cut(rest, " ")
-			names[name] = true
+			add(name)
 		default:
 			global = true
 		}
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -79,7 +79,7 @@
 	}
 	x.policy = d.Policy
 	for _, s := range d.Services {
-		x.services["service/"+s.Name] = s
+		x.services[serviceKey(s.Name)] = s
 	}
 	for _, c := range d.Classes {
 		x.classes[c.Service+"/"+c.Name] = c
--- a/bundle/document.go
+++ b/bundle/document.go
@@ -1,8 +1,11 @@
 package bundle
 
 import (
+	"cmp"
 	"fmt"
 	"math"
+	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -11,10 +14,9 @@
 
 // Limits on the values in a bundle.
 const (
-	MaxPriority   = 9  // the least urgent priority
-	maxNameLength = 63 // in bytes
-
-	maxCallerNameLength = 128 // in bytes; the platform names callers more freely than services
+	MaxPriority         = 9    // the least urgent priority
+	maxNameLength       = 63   // of a class or a team, in bytes
+	maxHeaderNameLength = 1024 // of a service or a caller, in bytes: each request carries them in its head
 )
 
 // Document is a bundle in the form that operators write in TOML.
@@ -76,6 +78,7 @@
 	MaxAttempts int               `toml:"attempts" json:"attempts,omitempty"` // maximum upstreams per request, refusals excluded; 0: default
 	Split       []SplitTargetSpec `toml:"split" json:"split,omitempty"`
 	Public      bool              `toml:"public" json:"public,omitempty"` // requests need no key
+	Closed      bool              `toml:"closed" json:"closed,omitempty"` // requests are refused, and don't fall to a route with a shorter prefix
 }
 
 // SplitTargetSpec is one weighted target of a traffic split.
@@ -111,12 +114,15 @@
 	return compileDocument(d)
 }
 
+// The keys of entries escape the names of services and hosts, which may have the characters that separate the parts of a key.
+
+func serviceKey(name string) string { return "service/" + url.PathEscape(name) }
+
+func classKey(service, name string) string { return "class/" + url.PathEscape(service) + "/" + name }
+
 // key returns the key of the route's entry in the bundle.
 func (r *RouteSpec) key() string {
-	if r.Host != "" {
-		return "route/" + r.Host + " " + r.Method + " " + r.Prefix
-	}
-	return "route/" + r.Service + " " + r.Method + " " + r.Prefix
+	return "route/" + url.PathEscape(cmp.Or(r.Host, r.Service)) + " " + r.Method + " " + r.Prefix
 }
 
 // Check implements setting.Checker.
@@ -197,7 +203,7 @@
 func (c *checker) services(d *Document) {
 	for i, s := range d.Services {
 		key := fmt.Sprintf("service[%d]", i)
-		c.name(key+".name", s.Name)
+		c.headerName(key+".name", s.Name)
 		c.unique(key+".name", "service/"+s.Name)
 		if s.Team != "" && !c.seen["team/"+s.Team] {
 			c.report(key+".team", "team %q is not declared", s.Team)
@@ -214,16 +220,9 @@
 	}
 }
 
-// needsHost reports whether the service must list hosts: one of its routes has no host, or no route of the document has a host.
+// needsHost reports whether the service must list hosts, since one of its routes has none.
 func (c *checker) needsHost(d *Document, service string) bool {
-	anyRouteHost := false
-	for _, r := range d.Routes {
-		if r.Host == "" && r.Service == service {
-			return true
-		}
-		anyRouteHost = anyRouteHost || r.Host != ""
-	}
-	return !anyRouteHost
+	return slices.ContainsFunc(d.Routes, func(r RouteSpec) bool { return r.Host == "" && r.Service == service })
 }
 
 func (c *checker) classes(d *Document) {
@@ -231,7 +230,7 @@
 	for i, class := range d.Classes {
 		key := fmt.Sprintf("class[%d]", i)
 		c.name(key+".name", class.Name)
-		c.unique(key+".name", "class/"+class.Service+"/"+class.Name)
+		c.unique(key+".name", "class/"+class.Service+"/"+class.Name) // no name of a class has a slash
 		if !c.seen["service/"+class.Service] {
 			c.report(key+".service", "service %q is not declared", class.Service)
 		}
@@ -251,9 +250,12 @@
 func (c *checker) routes(d *Document) {
 	for i, r := range d.Routes {
 		key := fmt.Sprintf("route[%d]", i)
-		if !c.seen["class/"+r.Service+"/"+r.Class] {
+		if !r.Closed && !c.seen["class/"+r.Service+"/"+r.Class] {
 			c.report(key+".class", "class %q of service %q is not declared", r.Class, r.Service)
 		}
+		if r.Closed && r.Host == "" && !c.seen["service/"+r.Service] {
+			c.report(key+".host", "is empty, and service %q is not declared", r.Service)
+		}
 		if !strings.HasPrefix(r.Prefix, "/") {
 			c.report(key+".prefix", "%q does not start with /", r.Prefix)
 		}
@@ -287,7 +289,7 @@
 	owners := make(map[keyDigest]string) // name of the caller, by the digest of its key
 	for i, caller := range d.Callers {
 		key := fmt.Sprintf("caller[%d]", i)
-		c.callerName(key+".name", caller.Name)
+		c.headerName(key+".name", caller.Name)
 		c.unique(key+".name", "caller/"+caller.Name)
 		c.callerKeys(key+".keys", caller, owners)
 		if p := caller.Priority; p != nil && (*p < 0 || *p > MaxPriority) {
@@ -302,15 +304,16 @@
 	}
 }
 
-// ValidCallerName reports whether a name can be the value of a header: it has no control characters and no space at its ends, and is not too long.
-func ValidCallerName(name string) bool {
+// ValidHeaderName reports whether the name of a service or a caller can be the value of a header: it has no control characters and no space at its
+// ends, and is not too long.
+func ValidHeaderName(name string) bool {
 	control := strings.ContainsFunc(name, func(r rune) bool { return r < ' ' || r == 0x7f })
-	return name != "" && len(name) <= maxCallerNameLength && !control && strings.Trim(name, " ") == name
+	return name != "" && len(name) <= maxHeaderNameLength && !control && strings.Trim(name, " ") == name
 }
 
-func (c *checker) callerName(key, name string) {
-	if !ValidCallerName(name) {
-		c.report(key, "%q is not a name of 1 to %d bytes without control characters and without spaces at its ends", name, maxCallerNameLength)
+func (c *checker) headerName(key, name string) {
+	if !ValidHeaderName(name) {
+		c.report(key, "%.64q is not a name of 1 to %d bytes without control characters and without spaces at its ends", name, maxHeaderNameLength)
 	}
 }
 
--- a/bundle/route.go
+++ b/bundle/route.go
@@ -53,6 +53,9 @@
 // Key returns the key of the route, which stays the same across versions of the bundle.
 func (r *Route) Key() string { return r.spec.key() }
 
+// Closed reports whether the requests on the route are refused.
+func (r *Route) Closed() bool { return r.spec.Closed }
+
 // IsSplit reports whether the route has several targets.
 func (r *Route) IsSplit() bool { return len(r.targets) > 1 }
 
@@ -93,6 +96,9 @@
 
 func (b *Bundle) compileRoute(spec RouteSpec) *Route {
 	r := &Route{spec: spec}
+	if spec.Closed {
+		return r
+	}
 	addTarget := func(service, class string, weight float64) {
 		s := b.services[service]
 		s.classes[class].addRoute(spec.Public)
@@ -120,7 +126,7 @@
 }
 
 // Route returns the match for a request: the route with the longest path prefix that ends at a segment boundary. For a split route it
-// returns the first target. It returns false if no route matches.
+// returns the first target. It returns false if no route matches, or if the one that matches is closed; the match then has that route only.
 func (b *Bundle) Route(host, method, path string) (Match, bool) {
 	if end := strings.LastIndexByte(host, ':'); end > 0 && !strings.HasSuffix(host, "]") {
 		host = host[:end]
@@ -132,6 +138,9 @@
 	noTrailingSlash := !strings.HasSuffix(path, "/")
 	for prefix := strings.TrimSuffix(path, "/"); ; noTrailingSlash = false {
 		if route := selectRoute(routes.byPrefix[prefix], method, noTrailingSlash); route != nil {
+			if route.Closed() {
+				return Match{Route: route}, false
+			}
 			return route.Target(0), true
 		}
 		end := strings.LastIndexByte(prefix, '/')
--- a/caller/request.go
+++ b/caller/request.go
@@ -43,7 +43,10 @@
 		return nil, badRequest("request target %q can't be forwarded", req.RequestURI)
 	}
 	m, ok := b.Route(req.Host, req.Method, req.URL.Path)
-	if !ok {
+	switch {
+	case !ok && m.Route != nil:
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeRouteClosed, errors.Errorf("%s is closed", m.Route.Key()))
+	case !ok:
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
 	}
 	r := &Request{Caller: headerValue(req.Header, d.CallerHeader), Match: m, Key: headerValue(req.Header, d.KeyHeader), HTTP: req}
--- a/node/keys.go
+++ b/node/keys.go
@@ -57,7 +57,7 @@
 // retries until the deadline of the request.
 func (n *Node) serveKeyed(ctx context.Context, j *forwardedRequest, r *caller.Request) (*upstream.Response, error) {
 	k := &peer.KeyedRequest{
-		Key:          url.PathEscape(r.Caller) + "/" + j.match.Service.Name() + "/" + r.Key,
+		Key:          url.PathEscape(r.Caller) + "/" + url.PathEscape(j.match.Service.Name()) + "/" + r.Key,
 		FirstAttempt: r.FirstAttempt,
 		Attempt:      (&dispatcher{req: j}).newAttempt(0),
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,6 +30,7 @@
 	ownedShards      prometheus.Gauge
 	logServiceUp     prometheus.Gauge
 	versionReads     *prometheus.CounterVec
+	configProblems   *prometheus.CounterVec
 	eraChanges       prometheus.Counter
 	stalledSeconds   prometheus.Counter
 	linkBytes        prometheus.Counter
@@ -75,6 +76,9 @@
 		versionReads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: "jasmine", Name: "version_reads_total", Help: "Reads of the published versions by result: news, none or failed.",
 		}, []string{"result"}),
+		configProblems: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "jasmine", Name: "config_problems_total", Help: "Problems with published versions by what isn't in force as written: the version, an entry or a value.",
+		}, []string{"what"}),
 		eraChanges:     prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "store_era_changes_total", Help: "Restorations of the platform's log service from a copy of which this node has learned."}),
 		stalledSeconds: prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "stalled_seconds_total", Help: "Time for which the process did not run."}),
 		linkBytes:      prometheus.NewCounter(prometheus.CounterOpts{Namespace: "jasmine", Name: "link_bytes_total", Help: "Bytes of requests to other regions and of their responses."}),
@@ -84,7 +88,7 @@
 	m.limitDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "jasmine", Name: "limit_decisions_total", Help: "Decisions on requests of callers with a limit.",
 	}, []string{"decision"})
-	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.unrouted, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.eraChanges, m.stalledSeconds, m.endedStreams, m.pipelined,
+	m.registry.MustRegister(m.limitDecisions, m.requests, m.requestLatency, m.attempts, m.attemptLatency, m.refusals, m.unrouted, m.healthChanges, m.liveMembers, m.ejectedUpstreams, m.bundleVersion, m.ownedShards, m.logServiceUp, m.linkBytes, m.versionReads, m.configProblems, m.eraChanges, m.stalledSeconds, m.endedStreams, m.pipelined,
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.logServiceUp.Set(1)
 	return m
--- a/node/versions.go
+++ b/node/versions.go
@@ -160,6 +160,7 @@
 
 // applyVersions applies an answer of the log service and records that it was applied.
 func (n *Node) applyVersions(answer newVersions) {
+	n.metrics.configProblems.WithLabelValues("version").Add(float64(len(answer.rejected)))
 	for _, e := range answer.rejected {
 		_ = level.Warn(n.logger).Log("msg", "version refused", "err", e)
 	}
@@ -197,12 +198,22 @@
 	if !accepted {
 		return
 	}
-	for _, what := range v.Adjusted {
-		_ = level.Warn(n.logger).Log("msg", "version adjusted", "version", v.Number, "what", what)
-	}
+	n.logConfigProblems("entry refused", "entry", v.Number, v.Refused)
+	n.logConfigProblems("version adjusted", "value", v.Number, v.Adjusted)
 	n.installVersion(v.Number, "store")
 }
 
+// maxLoggedProblems is the maximum number of lines on the problems of one kind with a version.
+const maxLoggedProblems = 32
+
+// logConfigProblems writes a line for each problem with a version that is in force all the same, up to maxLoggedProblems, and counts them all.
+func (n *Node) logConfigProblems(msg, kind string, version uint64, problems []string) {
+	n.metrics.configProblems.WithLabelValues(kind).Add(float64(len(problems)))
+	for _, what := range problems[:min(len(problems), maxLoggedProblems)] {
+		_ = level.Warn(n.logger).Log("msg", msg, "version", version, "what", what, "of", len(problems))
+	}
+}
+
 // installVersion puts the version that the rollout engine has accepted in force and tells other nodes, which pass it on.
 func (n *Node) installVersion(number uint64, source string) {
 	start := time.Now()
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -24,6 +24,7 @@
 // The codes of error responses.
 const (
 	CodeNoRoute          Code = "no-route"
+	CodeRouteClosed      Code = "route-closed" // the bundle has the route and refuses its requests
 	CodeNoBundle         Code = "no-bundle"
 	CodeBadRequest       Code = "bad-request"
 	CodeUnauthenticated  Code = "unauthenticated" // the request has no key, or one that no caller has
--- a/upstream/announce.go
+++ b/upstream/announce.go
@@ -29,6 +29,7 @@
 const (
 	maxAnnouncementBytes = 4 << 10
 	maxIDBytes           = 64
+	maxServiceBytes      = 1024
 	maxSlots             = 4096
 	maxConnections       = 65536
 )
@@ -95,8 +96,8 @@
 	if a.ID == "" || len(a.ID) > maxIDBytes {
 		return &FieldError{field: "id", requirement: "1 to 64 bytes long"}
 	}
-	if a.Service == "" || len(a.Service) > maxIDBytes {
-		return &FieldError{field: "service", requirement: "1 to 64 bytes long"}
+	if a.Service == "" || len(a.Service) > maxServiceBytes {
+		return &FieldError{field: "service", requirement: "1 to 1024 bytes long"}
 	}
 	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 {
 		return &FieldError{field: "address", requirement: "an IP address with a port"}
