A team without signers opens nothing

What operators saw: once the last signer of a team was taken away, its services could be changed by anybody whose signature counts for the fleet. Change: a team without signers can't sign, so that its services stay as they are until it has one; that step changes the team only, and needs the fleet's signatures. Evidence: TestTeamWithoutSignersOpensNothing fails on the code before (the first version is accepted with such a team); it passes, and TestSignoffs with it.

--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -270,7 +270,7 @@
 		signed := slices.ContainsFunc(s.Signatures, func(sig keyring.Signature) bool {
 			return slices.Contains(signers, sig.Signer) && e.trust.Verify(s.Message(), sig)
 		})
-		if len(signers) > 0 && !signed {
+		if !signed {
 			return owner.Team()
 		}
 	}
--- a/rollout/engine_test.go
+++ b/rollout/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,6 +132,30 @@
 	}
 }
 
+// TestTeamWithoutSignersOpensNothing guards against changes of a service that nobody of its team has signed, once the team's last signer is gone.
+func TestTeamWithoutSignersOpensNothing(t *testing.T) {
+	is := is.New(t)
+	o := newOperators(t)
+	e := rollout.New("a", o.ring)
+	var l memoryLog
+	withoutSigners := strings.Replace(bundleText(""), `signers = ["ana"]`, "signers = []", 1)
+	moved := strings.Replace(withoutSigners, `hosts = ["reservas.test"]`, `hosts = ["elsewhere.test"]`, 1)
+	l.roll(t, newStep(e, "c1", parse(t, withoutSigners), nil, o.keys[:2]...))
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(0)) // the first version has a service of the team, too
+	l.roll(t, newStep(e, "c2", parse(t, bundleText("")), nil, o.keys[:2]...))
+	l.applyAll(e)
+	l.roll(t, newStep(e, "c3", parse(t, withoutSigners), nil, o.keys[:2]...)) // changes the team, not its service
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(2))
+	l.roll(t, newStep(e, "c4", parse(t, moved), nil, o.keys...))
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(2)) // signed by all, but by nobody of the team
+	l.roll(t, newStep(e, "c5", parse(t, bundleText("")), nil, o.keys[1:]...)) // gives the team a signer again
+	l.applyAll(e)
+	is.Equal(e.Version(), uint64(3))
+}
+
 func TestStagedRoll(t *testing.T) {
 	is := is.New(t)
 	o := newOperators(t)
