A change that takes the last key away is refused unless keys stay required

Cause: a bundle without policy.keyed requires keys only while one is left; sets that field in the platform's adapter alone. Change: a step from a bundle with keys to one that requires none is refused, with an error that names policy.keyed; letting requests in is a later step that says so. The comparison of jasminectl check warned of keys that are required from now on, never of the reverse; it does now, for both protocols. Evidence: TestLastKeyIsTakenAwayOnlyWhileKeysAreRequired fails on the code before (version 2 is accepted without keys); TestCompareTellsThatKeysAreNotRequired is of a new warning.

--- a/bundle/caller.go
+++ b/bundle/caller.go
@@ -57,6 +57,9 @@
 // RequiresKeys reports whether requests must carry a key, except on public routes: any caller has one, or the policy says so.
 func (b *Bundle) RequiresKeys() bool { return b.policy.spec.Keyed || len(b.keys) > 0 }
 
+// HasKeys reports whether any caller has a key.
+func (b *Bundle) HasKeys() bool { return len(b.keys) > 0 }
+
 // Authenticate returns the caller to which the key belongs. The digest of the key is looked up, so that the time of the lookup tells
 // nothing of the keys.
 func (b *Bundle) Authenticate(key string) (*Caller, bool) {
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -35,6 +35,9 @@
 	if !before.RequiresKeys() && after.RequiresKeys() {
 		f.add(Warning, CodeKeysRequired, "caller", "requests need a key from now on, except on public routes")
 	}
+	if before.RequiresKeys() && !after.RequiresKeys() {
+		f.add(Warning, CodeKeysNotRequired, "caller", "requests need no key from now on")
+	}
 	slices.SortStableFunc(f, func(a, b Finding) int { return strings.Compare(a.Place, b.Place) })
 	return f
 }
--- a/bundle/finding.go
+++ b/bundle/finding.go
@@ -69,6 +69,7 @@
 	CodeRemovedKey      Code = "removed-key"
 	CodeMovedKey        Code = "moved-key"
 	CodeKeysRequired    Code = "keys-required"
+	CodeKeysNotRequired Code = "keys-not-required"
 	CodeLoweredLimit    Code = "lowered-limit"
 )
 
--- a/bundle/lint_test.go
+++ b/bundle/lint_test.go
@@ -184,3 +184,14 @@
 	is.Equal(len(list), 1)
 	is.Equal(list[0].Message, "changed: priority, share")
 }
+
+// TestCompareTellsThatKeysAreNotRequired guards against an operator who isn't told that a change lets requests in without keys.
+func TestCompareTellsThatKeysAreNotRequired(t *testing.T) {
+	is := is.New(t)
+	before, err := bundle.Parse("before.toml", []byte(validBundle+callerTable("x", quotedDigest("a"), "")))
+	is.NoErr(err)
+	after, err := bundle.Parse("after.toml", []byte(validBundle+callerTable("x", "", "")))
+	is.NoErr(err)
+	is.True(slices.Contains(found(bundle.Compare(before, after)), "warning keys-not-required caller"))
+	is.True(!slices.Contains(found(bundle.Compare(after, before)), "warning keys-not-required caller"))
+}
--- a/rollout/engine.go
+++ b/rollout/engine.go
@@ -240,6 +240,9 @@
 	if e.previous != nil && s.staged() && !s.releaseOnly() {
 		return nil, &StageError{version: e.lastStep.Version}
 	}
+	if e.head.HasKeys() && !next.RequiresKeys() {
+		return nil, &LastKeyError{id: s.ID}
+	}
 	policy := e.head.Policy()
 	if e.lastStep.Version == 0 {
 		policy = next.Policy()
@@ -411,6 +414,15 @@
 	return fmt.Sprintf("change %s has %d of %d signatures", e.id, e.validSignatures, e.requiredSignatures)
 }
 
+// LastKeyError reports that a step takes the last key of the callers away and would thereby let every request in: its policy must be keyed. To let
+// requests in without keys is a later step of its own.
+type LastKeyError struct{ id string }
+
+// Error implements the error interface.
+func (e *LastKeyError) Error() string {
+	return fmt.Sprintf("change %s takes the last key away, but policy.keyed is not set", e.id)
+}
+
 // StageError reports that a staged step can't be accepted yet, since an earlier staged step is not released everywhere.
 type StageError struct{ version uint64 }
 
--- a/rollout/engine_test.go
+++ b/rollout/engine_test.go
@@ -150,12 +150,37 @@
 	is.Equal(e.Version(), uint64(2))
 	l.roll(t, newStep(e, "c4", parse(t, moved), nil, o.keys...))
 	l.applyAll(e)
-	is.Equal(e.Version(), uint64(2)) // signed by all, but by nobody of the team
+	is.Equal(e.Version(), uint64(2))                                          // signed by all, but by nobody of the team
 	l.roll(t, newStep(e, "c5", parse(t, bundleText("")), nil, o.keys[1:]...)) // gives the team a signer again
 	l.applyAll(e)
 	is.Equal(e.Version(), uint64(3))
 }
 
+// TestLastKeyIsTakenAwayOnlyWhileKeysAreRequired guards against a change that takes the last key away and thereby lets every request in.
+func TestLastKeyIsTakenAwayOnlyWhileKeysAreRequired(t *testing.T) {
+	is := is.New(t)
+	o := newOperators(t)
+	e := rollout.New("a", o.ring)
+	var l memoryLog
+	version := 0
+	roll := func(text string) uint64 {
+		version++
+		l.roll(t, newStep(e, fmt.Sprint("c", version), parse(t, text), nil, o.keys...))
+		l.applyAll(e)
+		return e.Version()
+	}
+	withKey := bundleText(fmt.Sprintf("[[caller]]\nname = \"x\"\nkeys = [%q]\n", bundle.KeyDigest("k")))
+	keyed := strings.Replace(bundleText(""), "signoffs = 2", "signoffs = 2\nkeyed = true", 1)
+	is.Equal(roll(withKey), uint64(1))
+	is.Equal(roll(bundleText("")), uint64(1))
+	is.Equal(roll(bundleText("[[caller]]\nname = \"x\"\nkeys = []\n")), uint64(1))
+	is.True(e.InForce().RequiresKeys())
+	is.Equal(roll(keyed), uint64(2))
+	is.True(e.InForce().RequiresKeys())
+	is.Equal(roll(bundleText("")), uint64(3)) // says so
+	is.True(!e.InForce().RequiresKeys())
+}
+
 func TestStagedRoll(t *testing.T) {
 	is := is.New(t)
 	o := newOperators(t)
