A node whose version lacks a caller grants it no tokens

What callers could see: the allocator of a caller that a version has just added, with a limit, grants all that other nodes ask for as long as that version hasn't reached it: a caller that isn't in the bundle looked like one without a limit. Change: the lookup of a limit tells whether the bundle has the caller, and an Ask for one that it doesn't have is an error, as for a node without a bundle: the node that asks turns to the stand-in, then to its own share. Evidence: TestNodeWithoutBundleGrantsNothing, which learned the case, fails with the former condition (1,000 tokens granted) and passes.

--- a/limit/limits.go
+++ b/limit/limits.go
@@ -25,6 +25,12 @@
 // ErrNoBundle reports that a node can't tell the limit of a caller, since it has no bundle yet.
 var ErrNoBundle = errors.New("no bundle is in force here yet")
 
+// ErrUnknownCaller reports that the bundle in force doesn't have the caller, other than that of the node that asks.
+var ErrUnknownCaller = errors.New("the bundle in force here doesn't have the caller")
+
+// Lookup returns the limit in force of a caller, which is the zero Limit if it has none, and whether the bundle in force has the caller.
+type Lookup func(caller string) (limit quota.Limit, known bool)
+
 // Caller makes the call Allot to the named node. A call that is given up costs the connection, so it ends much later than its answer is waited for.
 type Caller func(ctx context.Context, node string, ask quota.Ask) (quota.Grant, error)
 
@@ -37,13 +43,13 @@
 	fleet     *quota.Fleet
 	limiter   *quota.Limiter
 	allocator *quota.Allocator
-	lookup    func(caller string) quota.Limit
+	lookup    Lookup
 	waiting   map[uint64]chan quota.Verdict // requests that wait for a token, by ticket
 	hasBundle bool                          // a bundle is in force
 }
 
 // New returns the limits of the named node, which starts now. Lookup returns the limit of a caller in force.
-func New(now time.Time, self string, rule quota.Rule, lookup func(caller string) quota.Limit, call Caller) *Limits {
+func New(now time.Time, self string, rule quota.Rule, lookup Lookup, call Caller) *Limits {
 	fleet := quota.NewFleet(now, self)
 	return &Limits{
 		self:      self,
@@ -76,7 +82,7 @@
 // Take decides on a request of a caller. It waits for the answer of another node where that is needed; objective is that of the request's class,
 // or 0. A refusal is a *quota.LimitError.
 func (l *Limits) Take(ctx context.Context, caller string, objective time.Duration) (quota.Verdict, error) {
-	limit := l.lookup(caller)
+	limit, _ := l.lookup(caller)
 	l.mu.Lock()
 	v, call := l.limiter.Admit(time.Now(), caller, limit)
 	decided := make(chan quota.Verdict, 1)
@@ -165,14 +171,17 @@
 	return grant, errors.Wrapf(err, "ask %s for tokens of %s", node, ask.Caller)
 }
 
-// Allot answers an Ask, or passes it on to the caller's allocator. The error is ErrNoBundle if the node doesn't know the limits of callers yet: it
-// must not take a caller for one without a limit, and the node that asks turns to the stand-in.
+// Allot answers an Ask, or passes it on to the caller's allocator. The error is ErrNoBundle or ErrUnknownCaller if the node doesn't know the caller: it
+// must not take it for one without a limit, and the node that asks turns to the stand-in.
 func (l *Limits) Allot(ask quota.Ask) (quota.Grant, error) {
-	unlimited := l.lookup(ask.Caller).Rate <= 0
+	_, known := l.lookup(ask.Caller)
 	l.mu.Lock()
-	if unlimited && !l.hasBundle {
-		l.mu.Unlock()
-		return quota.Grant{}, ErrNoBundle
+	if !known {
+		defer l.mu.Unlock()
+		if !l.hasBundle {
+			return quota.Grant{}, ErrNoBundle
+		}
+		return quota.Grant{}, ErrUnknownCaller
 	}
 	to := l.allocator.Relay(time.Now(), ask)
 	l.mu.Unlock()
@@ -185,7 +194,7 @@
 			return grant, nil
 		}
 	}
-	limit := l.lookup(ask.Caller)
+	limit, _ := l.lookup(ask.Caller)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.allocator.Answer(time.Now(), ask, limit), nil
--- a/limit/limits_test.go
+++ b/limit/limits_test.go
@@ -18,7 +18,7 @@
 // newTestLimits returns the limits of node a beside nodes b and c, and the name of a caller whose allocator is b and whose stand-in is c.
 func newTestLimits(call limit.Caller) (*limit.Limits, string) {
 	now := time.Now()
-	l := limit.New(now, "a", quota.Rule{Window: 5 * time.Second, Overage: 0.1}, func(string) quota.Limit { return testLimit }, call)
+	l := limit.New(now, "a", quota.Rule{Window: 5 * time.Second, Overage: 0.1}, func(string) (quota.Limit, bool) { return testLimit, true }, call)
 	caller := "c"
 	l.Fleet(func(f *quota.Fleet) {
 		f.Complete(now)
@@ -93,17 +93,21 @@
 	}
 }
 
-// TestNodeWithoutBundleGrantsNothing guards against a node that has just started taking each caller for one without a limit, and granting other nodes
-// all that they ask for.
+// TestNodeWithoutBundleGrantsNothing guards against a node that has just started, or whose bundle doesn't have the caller yet, taking it for one without a
+// limit, and granting other nodes all that they ask for.
 func TestNodeWithoutBundleGrantsNothing(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
-	l := limit.New(now, "a", quota.Rule{Window: 5 * time.Second, Overage: 0.1}, func(string) quota.Limit { return quota.Limit{} }, nil)
+	now, known := time.Now(), ""
+	l := limit.New(now, "a", quota.Rule{Window: 5 * time.Second, Overage: 0.1}, func(name string) (quota.Limit, bool) { return quota.Limit{}, name == known }, nil)
 	ask := quota.Ask{Caller: "x", Node: "b", Wanted: 1000, Used: 10}
 	grant, err := l.Allot(ask)
 	is.True(errors.Is(err, limit.ErrNoBundle)) // the asking node turns to the stand-in, and reports again what it used
 	is.Equal(grant, quota.Grant{})
-	l.SetCallers(now, 0) // a bundle in which no caller has a limit
+	l.SetCallers(now, 0) // a bundle without the caller, such as an older one than that of the asking node
+	grant, err = l.Allot(ask)
+	is.True(errors.Is(err, limit.ErrUnknownCaller))
+	is.Equal(grant, quota.Grant{})
+	known = "x" // a bundle in which it has no limit
 	grant, err = l.Allot(ask)
 	is.NoErr(err)
 	is.Equal(grant.Tokens, 1000.0)
--- a/node/limit.go
+++ b/node/limit.go
@@ -22,13 +22,13 @@
 	return limit.New(now, n.cfg.Name, n.cfg.Quota.rule(), n.callerLimit, n.allotAt)
 }
 
-// callerLimit returns the limit of a caller, which is the zero Limit if it has none.
-func (n *Node) callerLimit(name string) quota.Limit {
+// callerLimit returns the limit of a caller, which is the zero Limit if it has none, and whether the bundle in force has the caller.
+func (n *Node) callerLimit(name string) (limit quota.Limit, known bool) {
 	c := n.Bundle().Caller(name)
 	if c == nil {
-		return quota.Limit{}
+		return quota.Limit{}, false
 	}
-	return quota.Limit{Rate: c.Rate(), Burst: c.Burst()}
+	return quota.Limit{Rate: c.Rate(), Burst: c.Burst()}, true
 }
 
 // Admit implements caller.Fleet. It rejects the request if the node stops and can't serve it in time, or if its caller has exceeded its rate limit.
@@ -42,7 +42,7 @@
 	}
 	n.metrics.limitDecisions.WithLabelValues(string(verdict.Decision)).Inc()
 	if verdict.Changed {
-		in := n.callerLimit(verdict.Caller)
+		in, _ := n.callerLimit(verdict.Caller)
 		_ = level.Info(n.logger).Log("msg", "limit", "caller", verdict.Caller, "limited", err != nil, "decision", verdict.Decision,
 			"rate", in.Rate, "burst", in.Burst, "tokens", verdict.Tokens, "age", verdict.Age.Milliseconds())
 	}
