A name of a tenant that a requester writes itself reaches no server

What servers saw: by a version without the field tenants, such as one that follows versions with it, the header Tenant of a request was passed on as its requester wrote it. Change: where only the fleet may set the header, it is always removed. Evidence: TestRouteTurnsPublic, which held the contrary, that the name comes through, wants none now and failed on the code before; it is stricter: PROTOCOL names Tenant among the headers that the system sets whatever the requester sent. Authorization is passed on as before where no keys are required.

--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -6,7 +6,7 @@
 	RequestIDHeader      string // carries the id of the request, used in logs and in the timeline of events
 	TimeoutHeader        string // carries the time in milliseconds after which the caller stops waiting
 	CallerHeader         string // carries the name of the caller, which is believed if the bundle has no keys
-	IdentityHeader       string // tells upstreams the name of the caller; it is removed from requests if the bundle has keys
+	IdentityHeader       string // tells upstreams the name of the caller; removed from requests, unless it is CallerHeader and the bundle requires no keys
 	KeyHeader            string // carries the idempotency key; a retry with the same key does not run the request again
 	KeyAttemptHeader     string // its value is 1 if no earlier request with the key can have run
 	FractionalRetryAfter bool   // the Retry-After header has fractions of a second
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -122,6 +122,9 @@
 }
 
 func (d Dialect) serve(f Fleet, b *bundle.Bundle, r *Request, maxBody int64, bodies *uploads) (*upstream.Response, error) {
+	if d.IdentityHeader != d.CallerHeader {
+		r.HTTP.Header.Del(d.IdentityHeader)
+	}
 	if b.RequiresKeys() {
 		if err := d.authenticate(f, b, r); err != nil {
 			return nil, unknownIfMayHaveRun(r, err)
