A departure is not acknowledged without effect after a clock has jumped back

Cause: lives are ordered by the time of day alone; Roster.Apply took all that the new one says for stale, and Node.Announce acknowledges what is stale.

Change: an incarnation with a lower number that announces itself twice, 0.8 s apart, while the one that counts as live doesn't, takes its place; numbers up to the one that has ended must then do the same to return. Until that is settled, draining is answered with 503, and the server announces it again; it is never acknowledged without effect. A single delayed announcement still brings nothing back. Why it works: which life is alive follows from who announces itself, on the steady clock.

TestClockThatJumpedBackHidesNoDeparture is the case itself.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,8 @@
 	for m in $(MODULES); do (cd $$m && go build ./...) || exit 1; done
 
 # Packages with randomized property tests (rapid); a fixed seed makes their results reproducible.
-DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./pipeline ./platform ./quota ./retry ./rollout ./routing ./stream
-PLAIN = ./caller ./idempotency ./limit ./setting ./tcp ./upstream
+DRAWN = ./admission ./bundle ./event ./membership ./node ./outlier ./pipeline ./platform ./quota ./retry ./rollout ./routing ./stream ./upstream
+PLAIN = ./caller ./idempotency ./limit ./setting ./tcp
 
 # Load in virtual time, which runs without the race detector for the same reason as the ownership tests, and its scenarios that are listed in
 # KNOWN-RED.txt.
@@ -39,7 +39,7 @@
 
 fuzz:
 	go test ./ownership -run 'TestAtMostOnce$$' -steps 1000000 -timeout 20m
-	go test ./rollout ./membership ./outlier ./admission ./routing ./quota -rapid.checks 5000 -timeout 20m
+	go test ./rollout ./membership ./outlier ./admission ./routing ./quota ./upstream -rapid.checks 5000 -timeout 20m
 	go test ./node -run TestAcknowledgedDeparturesHold -rapid.checks 20000 -timeout 20m
 	go test ./bundle -run '^$$' -fuzz FuzzParse -fuzztime 20s
 	for f in FuzzConfig FuzzAnnouncement FuzzChunk FuzzKeyed FuzzTarget; do go test ./platform -run '^$$' -fuzz "^$$f\$$" -fuzztime 20s || exit 1; done
--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -22,6 +22,15 @@
 // Error implements error.
 func (e *StaleError) Error() string { return fmt.Sprintf("announcement of %s: %s", e.id, e.reason) }
 
+// UnsettledError reports that an incarnation says that it leaves while another one of the upstream counts as the live one, so that its leaving can't
+// be acknowledged yet. It must be announced again.
+type UnsettledError struct{ id string }
+
+// Error implements error.
+func (e *UnsettledError) Error() string {
+	return fmt.Sprintf("announcement of %s: another incarnation is live, announce again", e.id)
+}
+
 // UnidentifiedError reports a departure that doesn't tell which incarnation leaves, of an upstream that isn't known.
 type UnidentifiedError struct{ id string }
 
@@ -53,14 +62,63 @@
 type Roster struct {
 	live       map[string]Announcement
 	tombstones map[string]tombstone
+	contests   map[string]contest // by the id of a live upstream
+}
+
+// contestTime is the minimum time between two announcements of an incarnation by which it takes the place of one that started later. Delayed ones
+// come together.
+const contestTime = 800 * time.Millisecond
+
+// contest tells of the incarnations that claim the id of a live upstream though their numbers say that they have ended, or that have been shown to
+// have ended though their numbers are higher: incarnations are numbered by the time of day, which may jump.
+type contest struct {
+	ended       uint64 // the highest number of those whose place the live incarnation has taken
+	incarnation uint64 // of the last announcement of an incarnation other than the live one, since which the live one hasn't announced itself
+	seq         uint64
+	since       time.Time
+}
+
+// claim records an announcement of an incarnation that has ended by its number. It returns true if the incarnation is alive after all, and the one that
+// counts as live isn't: it has announced itself twice, and the other one hasn't meanwhile.
+func (r *Roster) claim(now time.Time, a Announcement) bool {
+	c := r.contests[a.ID]
+	if c.incarnation == a.Incarnation && a.Seq > c.seq {
+		return now.Sub(c.since) >= contestTime
+	}
+	if c.incarnation != a.Incarnation {
+		c.incarnation, c.seq, c.since = a.Incarnation, a.Seq, now
+		r.setContest(a.ID, c)
+	}
+	return false
+}
+
+func (r *Roster) setContest(id string, c contest) {
+	if c == (contest{}) {
+		delete(r.contests, id)
+		return
+	}
+	if r.contests == nil {
+		r.contests = make(map[string]contest)
+	}
+	r.contests[id] = c
 }
 
 // Apply stores an announcement and returns the ids of the upstreams that it replaces.
-// The error is a *StaleError, after which the announcement must not be used.
+// The error is a *StaleError or an *UnsettledError, after which the announcement must not be used.
 func (r *Roster) Apply(now time.Time, a Announcement) (replaced []string, err error) {
 	old, isLive := r.live[a.ID]
-	if isLive && a.olderThan(old) {
-		if a.State != Draining || a.Incarnation != old.Incarnation {
+	ended := r.contests[a.ID].ended
+	contested := isLive && a.Incarnation != old.Incarnation && (a.Incarnation < old.Incarnation || a.Incarnation <= ended)
+	if contested {
+		if !r.claim(now, a) {
+			if a.State == Draining {
+				return nil, &UnsettledError{a.ID}
+			}
+			return nil, &StaleError{a.ID, "another incarnation is live"}
+		}
+		ended = max(ended, old.Incarnation)
+	} else if isLive && a.olderThan(old) {
+		if a.State != Draining {
 			return nil, &StaleError{a.ID, "a later announcement was received already"}
 		}
 		old.State = Draining // what an incarnation says of its leaving holds, however late it comes
@@ -69,10 +127,11 @@
 	}
 	stone, removed := r.tombstones[a.ID]
 	removed = removed && stone.current(now)
-	if removed && stone.rejects(a) {
+	isCurrent := isLive && a.Incarnation == old.Incarnation
+	if removed && !contested && !isCurrent && stone.rejects(a) {
 		return nil, &StaleError{a.ID, "this incarnation has ended"}
 	}
-	if isLive && a.Incarnation > old.Incarnation {
+	if isLive && a.Incarnation != old.Incarnation {
 		replaced = append(replaced, a.ID)
 	}
 	for id, other := range r.live {
@@ -88,8 +147,14 @@
 		replaced = append(replaced, id)
 	}
 	for _, id := range replaced {
-		r.bury(now, r.live[id], true)
+		switch {
+		case id != a.ID:
+			r.end(now, r.live[id])
+		case !contested:
+			r.bury(now, old, true)
+		}
 	}
+	r.setContest(a.ID, contest{ended: ended})
 	if isLive && old.drains(a.Incarnation) || removed && stone.lastAnnouncement.drains(a.Incarnation) {
 		a.State = Draining // an incarnation never returns from draining
 	}
@@ -138,7 +203,7 @@
 // The error is a *StaleError if a later incarnation is live, or an *UnidentifiedError, after which nothing is recorded.
 func (r *Roster) Depart(now time.Time, d Departure) error {
 	last, isLive := r.live[d.ID]
-	if isLive && d.Incarnation > 0 && d.Incarnation < last.Incarnation {
+	if isLive && d.Incarnation > 0 && d.Incarnation < last.Incarnation && d.Incarnation != r.contests[d.ID].incarnation {
 		return &StaleError{d.ID, "a later incarnation is live"}
 	}
 	stone, removed := r.tombstones[d.ID]
@@ -151,10 +216,16 @@
 	}
 	last.ID = d.ID
 	last.Incarnation = max(last.Incarnation, ended)
-	r.bury(now, last, true)
+	r.end(now, last)
 	return nil
 }
 
+// end buries an upstream with all incarnations whose place it has taken.
+func (r *Roster) end(now time.Time, last Announcement) {
+	last.Incarnation = max(last.Incarnation, r.contests[last.ID].ended)
+	r.bury(now, last, true)
+}
+
 // Expire removes an upstream that stopped renewing its announcements; a later announcement of the same incarnation brings it back.
 func (r *Roster) Expire(now time.Time, id string) {
 	if last, ok := r.live[id]; ok {
@@ -165,6 +236,7 @@
 // bury replaces the live announcement of an upstream, if there is one, by a tombstone.
 func (r *Roster) bury(now time.Time, last Announcement, final bool) {
 	delete(r.live, last.ID)
+	delete(r.contests, last.ID)
 	if r.tombstones == nil {
 		r.tombstones = make(map[string]tombstone)
 	}
--- a/upstream/roster_test.go
+++ b/upstream/roster_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jasminevane/jasminevane/upstream"
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 )
 
 func TestRosterRejectsEndedIncarnations(t *testing.T) {
@@ -218,3 +219,101 @@
 		})
 	}
 }
+
+// TestClockThatJumpedBackHidesNoDeparture guards against the draining of a server that is acknowledged and has no effect, since the server started
+// again under its id just after the time of day of its instance had jumped back.
+func TestClockThatJumpedBackHidesNoDeparture(t *testing.T) {
+	is := is.New(t)
+	var r upstream.Roster
+	start := time.Unix(0, 0)
+	apply := func(at time.Duration, incarnation, seq uint64, s upstream.State) error {
+		_, err := r.Apply(start.Add(at), upstream.Announcement{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1, Incarnation: incarnation, Seq: seq, State: s})
+		return err
+	}
+	current := func() upstream.Announcement {
+		a, _ := r.Current("a")
+		return a
+	}
+	var stale *upstream.StaleError
+	var unsettled *upstream.UnsettledError
+	is.NoErr(apply(0, 9000, 1, upstream.Ready))
+	is.True(errors.As(apply(500*time.Millisecond, 8000, 1, upstream.Ready), &stale))
+	is.True(errors.As(apply(600*time.Millisecond, 8000, 2, upstream.Draining), &unsettled)) // isn't acknowledged
+	is.NoErr(apply(1600*time.Millisecond, 8000, 3, upstream.Draining))
+	is.Equal(current().State, upstream.Draining)
+	is.Equal(current().Incarnation, uint64(8000))
+	is.True(errors.As(apply(1700*time.Millisecond, 9000, 2, upstream.Ready), &stale)) // delayed
+	is.Equal(current().State, upstream.Draining)
+	is.NoErr(r.Depart(start.Add(2*time.Second), upstream.Departure{ID: "a", Incarnation: 8000}))
+	is.True(errors.As(apply(3*time.Second, 9000, 3, upstream.Ready), &stale))
+	is.True(errors.As(apply(4*time.Second, 8000, 4, upstream.Ready), &stale))
+}
+
+// TestLateAnnouncementsTakeNoPlace guards against delayed announcements of an ended incarnation that take the place of the live one.
+func TestLateAnnouncementsTakeNoPlace(t *testing.T) {
+	is := is.New(t)
+	var r upstream.Roster
+	now := time.Unix(0, 0)
+	for seq := uint64(1); seq < 10; seq++ {
+		now = now.Add(time.Second)
+		_, err := r.Apply(now, upstream.Announcement{ID: "a", Address: "127.0.0.1:1", Incarnation: 9000, Seq: seq, State: upstream.Ready})
+		is.NoErr(err)
+		_, err = r.Apply(now, upstream.Announcement{ID: "a", Address: "127.0.0.1:1", Incarnation: 8000, Seq: 50 + seq, State: upstream.Ready})
+		is.True(err != nil)
+	}
+}
+
+// TestLivesUnderJumpingClocks draws lives of a server whose clock jumps either way between and within them, and delayed announcements of earlier lives. It
+// guards against a life that isn't the current one within some seconds, and against an acknowledged departure without effect.
+func TestLivesUnderJumpingClocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r upstream.Roster
+		steady, offset := 100_000, 0 // milliseconds
+		seq := uint64(0)
+		var former []upstream.Announcement
+		var life upstream.Announcement
+		announce := func(a upstream.Announcement) error {
+			_, err := r.Apply(time.UnixMilli(int64(steady)), a)
+			return err
+		}
+		send := func(s upstream.State) error {
+			seq++
+			life.Seq, life.State = seq, s
+			return announce(life)
+		}
+		lives := rapid.IntRange(1, 5).Draw(t, "lives")
+		for i := range lives {
+			offset = rapid.IntRange(-6000, 6000).Draw(t, "clock")
+			if i > 0 {
+				life.Seq += uint64(rapid.IntRange(1, 3).Draw(t, "delayed"))
+				former = append(former, life)
+			}
+			seq = 0
+			life = upstream.Announcement{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1, Incarnation: uint64(steady + offset)}
+			for range rapid.IntRange(3, 8).Draw(t, "announcements") {
+				_ = send(upstream.Ready) // may be refused at first
+				steady += 1000
+				if len(former) > 0 && rapid.Bool().Draw(t, "late") {
+					_ = announce(former[rapid.IntRange(0, len(former)-1).Draw(t, "of")])
+				}
+			}
+			if _, live := r.Current("a"); !live {
+				t.Fatal("the upstream isn't live")
+			}
+			steady += rapid.IntRange(0, 3000).Draw(t, "down")
+		}
+		for repeats := 0; send(upstream.Draining) != nil; repeats++ {
+			if repeats > 3 {
+				t.Fatal("the departure isn't acknowledged")
+			}
+			steady += 1000
+		}
+		for _, a := range former {
+			steady += 300
+			_ = announce(a)
+			if got, live := r.Current("a"); live && got.State != upstream.Draining {
+				t.Fatalf("incarnation %d is ready after the departure of %d was acknowledged", got.Incarnation, life.Incarnation)
+			}
+		}
+	})
+}
