A request id of any length passes unchanged

What callers saw: a Request-Id of over 128 bytes was replaced by another one, on the way to the server and in the response, so that neither could be told to belong to the request. Change: an id is made only where there is none; log lines and events show its first 128 bytes.

--- a/caller/request.go
+++ b/caller/request.go
@@ -14,7 +14,7 @@
 
 // Limits of a request.
 const (
-	maxKeyBytes = 128 // of an idempotency key or a request id
+	maxKeyBytes = 128 // of an idempotency key
 	minTimeout  = time.Millisecond
 )
 
@@ -60,7 +60,7 @@
 	}
 	r.Deadline = now.Add(timeout)
 	r.ID = headerValue(req.Header, d.RequestIDHeader)
-	if r.ID == "" || len(r.ID) > maxKeyBytes {
+	if r.ID == "" {
 		r.ID = uuid.NewString()
 	}
 	return r, nil
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -59,7 +59,7 @@
 		return
 	}
 	load := gate.Load(attempt.Class)
-	_ = level.Info(n.logger).Log("msg", "attempt", "id", attempt.RequestID, "upstream", upstreamID, "class", attempt.Class, "result", resultText(resp, err),
+	_ = level.Info(n.logger).Log("msg", "attempt", "id", clip(attempt.RequestID), "upstream", upstreamID, "class", attempt.Class, "result", resultText(resp, err),
 		"sick", fmt.Sprintf("%.2f", load.Suspicion), "running", load.Load.Running, "queued", load.Load.Queued, "limit", load.Load.Limit,
 		"left", time.Until(attempt.Deadline).Milliseconds(), "forced", attempt.Forced, "caller", attempt.Caller, "retry_after", retryAfterOf(err).Milliseconds(), "err", err)
 }
@@ -117,7 +117,7 @@
 	n.metrics.requests.WithLabelValues(service, class, string(requestOutcome), string(code)).Inc()
 	n.metrics.requestLatency.WithLabelValues(service, class, string(requestOutcome)).Observe(duration.Seconds())
 	if requestOutcome == outcome.Unknown && err != nil {
-		n.events.Add(event.Event{Kind: event.Unknown, Request: r.ID, Text: service + "/" + class + " " + err.Error()})
+		n.events.Add(event.Event{Kind: event.Unknown, Request: clip(r.ID), Text: service + "/" + class + " " + err.Error()})
 	}
 	success := err == nil && status < 500 && len(r.Steps) == 1 && duration <= cmp.Or(r.Match.Class.Objective(), r.Match.Timeout())
 	if !n.requestLog.allow(success) {
@@ -127,6 +127,6 @@
 	if r.Identified {
 		logger = log.With(logger, "caller", r.Caller)
 	}
-	_ = level.Info(logger).Log("msg", "request", "id", r.ID, "service", service, "class", class, "outcome", requestOutcome, "code", code, "status", status,
+	_ = level.Info(logger).Log("msg", "request", "id", clip(r.ID), "service", service, "class", class, "outcome", requestOutcome, "code", code, "status", status,
 		"ms", duration.Milliseconds(), "timeout", r.Match.Timeout().Milliseconds(), "bundle", n.bundleVersion.Load(), "steps", strings.Join(r.Steps, " "), "err", err)
 }
