Incarnations at another address take no place, and the roster's decision has a function of its own

By reading: an announcement of another writer under the id of a live upstream, with an earlier start and an address of its own, could take its place by coming twice while the true one was silent for 0.8 s. The decision has moved out of Apply, which had grown; a comment tells what is counted.

--- a/node/versions.go
+++ b/node/versions.go
@@ -206,7 +206,8 @@
 // maxLoggedProblems is the maximum number of lines on the problems of one kind with a version.
 const maxLoggedProblems = 32
 
-// logConfigProblems writes a line for each problem with a version that is in force all the same, up to maxLoggedProblems, and counts them all.
+// logConfigProblems writes a line for each problem of a kind with a version that is in force all the same, up to maxLoggedProblems, and counts them
+// all.
 func (n *Node) logConfigProblems(msg, kind string, version uint64, problems []string) {
 	n.metrics.configProblems.WithLabelValues(kind).Add(float64(len(problems)))
 	for _, what := range problems[:min(len(problems), maxLoggedProblems)] {
--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -92,6 +92,20 @@
 	return false
 }
 
+// resolve returns nil if a, whose incarnation has ended by its number, takes the place of the live announcement old.
+func (r *Roster) resolve(now time.Time, a, old Announcement) error {
+	if a.Address != old.Address {
+		return &StaleError{a.ID, "a later incarnation is live at another address"}
+	}
+	if r.claim(now, a) {
+		return nil
+	}
+	if a.State == Draining {
+		return &UnsettledError{a.ID}
+	}
+	return &StaleError{a.ID, "another incarnation is live"}
+}
+
 func (r *Roster) setContest(id string, c contest) {
 	if c == (contest{}) {
 		delete(r.contests, id)
@@ -109,15 +123,13 @@
 	old, isLive := r.live[a.ID]
 	ended := r.contests[a.ID].ended
 	contested := isLive && a.Incarnation != old.Incarnation && (a.Incarnation < old.Incarnation || a.Incarnation <= ended)
-	if contested {
-		if !r.claim(now, a) {
-			if a.State == Draining {
-				return nil, &UnsettledError{a.ID}
-			}
-			return nil, &StaleError{a.ID, "another incarnation is live"}
+	switch {
+	case contested:
+		if err := r.resolve(now, a, old); err != nil {
+			return nil, err
 		}
 		ended = max(ended, old.Incarnation)
-	} else if isLive && a.olderThan(old) {
+	case isLive && a.olderThan(old):
 		if a.State != Draining {
 			return nil, &StaleError{a.ID, "a later announcement was received already"}
 		}
