--- a/upstream/roster.go
+++ b/upstream/roster.go
@@ -106,6 +106,7 @@
 	return &StaleError{a.ID, "another incarnation is live"}
 }
 
+// setContest stores what is known of the other incarnations of a live upstream, or forgets them if c is zero.
 func (r *Roster) setContest(id string, c contest) {
 	if c == (contest{}) {
 		delete(r.contests, id)
