Pipelined requests don't run again where the handler changes their header

What callers saw, by a test: of four requests sent one behind another, three ran twice, if the handler removes a field of the header, as it does for the key of a caller, and since for the name of a tenant. Cause: a request that is run before its turn shared its header with the copy that is compared once the server has read the same request; the two then differ, the request is canceled and served again. Change: the handler gets a header of its own.

--- a/pipeline/request.go
+++ b/pipeline/request.go
@@ -50,6 +50,7 @@
 	r.header = make(http.Header)
 	r.req.RemoteAddr = r.conn.RemoteAddr().String()
 	req := r.req.WithContext(ctx)
+	req.Header = req.Header.Clone() // the handler may change it before matches compares the original
 	r.conn.p.onStart()
 	go func() {
 		defer close(r.done)
