A repeated read records what it was, not what became of the first one

Change: the result goes into a copy. No caller could see it; a log line could. Evidence: the trace of the detector; it shows only where a repeat begins as the first answer comes, and no test forces that. TestStoreContractOneNodeReadsForAll, TestVersionIsInForce* and TestEndlessAnswersOfTheLogService pass with the detector.

--- a/node/versions.go
+++ b/node/versions.go
@@ -152,8 +152,9 @@
 		return call(ctx, n.protocols.spareSource)
 	})
 	if ctx.Err() == nil {
-		r.versions, r.err = answer.count(), err
-		n.recordRead(r)
+		done := r // the repeated read may still begin, and record r
+		done.versions, done.err = answer.count(), err
+		n.recordRead(done)
 	}
 	return answer, err
 }
