--- a/review/standin-3/case14.go
+++ b/review/standin-3/case14.go
@@ -9,7 +9,7 @@
 
 // latePings lets a server start again under its id and leave, while two pings of its former start arrive seconds late.
 func latePings(w *world) verdict {
-	servers := w.fleet(8)
+	servers := w.fleet(8, "cuyo-b", "cuyo-a", "cuyo-a", "pampa-a", "pampa-a", "pampa-a", "pampa-b", "pampa-b")
 	w.publish(7, []route{safeRoute("/lohu930/"), unsafeRoute("/pufi791/")}, nil)
 	leaving := servers[0] // 1 of 8: a share of 0.125
 	startAll(servers[1:])
@@ -70,7 +70,7 @@
 	w.log("server %s: ping born=%d seq=%d state=%s is on its way", s.id, p.born, p.seq, p.state)
 }
 
-// bookings sends unsafe requests at all nodes until the returned function is called.
+// bookings sends safe and unsafe requests at all nodes until the returned function is called.
 func (w *world) bookings() (end func()) {
 	stop := make(chan struct{})
 	var sending sync.WaitGroup
@@ -80,8 +80,9 @@
 				select {
 				case <-stop:
 					return
-				case <-time.After(20 * time.Millisecond):
+				case <-time.After(100 * time.Millisecond):
 				}
+				n.request(http.MethodGet, "/lohu930/2f", fmt.Sprintf("s-%d-%d", i, j), 2500*time.Millisecond, "", nil)
 				n.request(http.MethodPost, "/pufi791/2f", fmt.Sprintf("u-%d-%d", i, j), 3*time.Second, "x", nil)
 			}
 		})
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -12,11 +12,15 @@
 	service = "huvo11a"
 )
 
-// fleet starts nodes and prepares a server of the service beside each.
-func (w *world) fleet(n int) []*server {
+// fleet starts nodes and prepares a server of the service beside each. All are in the zone pampa-a, unless the zones are given.
+func (w *world) fleet(n int, zones ...string) []*server {
 	var servers []*server
 	for i := range n {
-		node := w.newNode(fmt.Sprintf("sidecar-%d", i+1), service)
+		zone := "pampa-a"
+		if i < len(zones) {
+			zone = zones[i]
+		}
+		node := w.newNode(fmt.Sprintf("sidecar-%d", i+1), service, zone)
 		servers = append(servers, w.newServer(node, fmt.Sprintf("i-%d", i+1)))
 	}
 	return servers
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -173,7 +173,7 @@
 func (s *server) deliver(p ping) bool {
 	doc := map[string]any{
 		"address": s.node.app, "born": p.born,
-		"info":   map[string]any{"service": s.node.service, "version": "v1", "zone": "pampa-a", "slots": 5},
+		"info":   map[string]any{"service": s.node.service, "version": "v1", "zone": s.node.zone, "slots": 5},
 		"status": map[string]any{"state": p.state, "seq": p.seq, "cold_left": "0ms"},
 	}
 	data, _ := json.Marshal(doc)
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,6 +24,7 @@
 // world holds the processes and stand-ins of one case.
 type world struct {
 	dir     string
+	subnet  int // of the machines' loopback addresses
 	start   time.Time
 	trouble bool
 	mu      sync.Mutex
@@ -41,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: f}
+	w := &world{dir: dir, subnet: rand.IntN(1 << 14), start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: f}
 	w.log("trouble=%v", w.trouble)
 	w.store = newStore(w)
 	return w, nil
@@ -69,7 +72,9 @@
 	for i := len(ends) - 1; i >= 0; i-- {
 		ends[i]()
 	}
-	_ = os.RemoveAll(w.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.dir)
+	}
 	_ = w.record.Close()
 }
 
@@ -90,16 +95,29 @@
 	return ln
 }
 
-func (w *world) freeAddress() string {
-	ln := w.listen()
-	defer ln.Close()
-	return ln.Addr().String()
+// machineIP returns the loopback address of a machine. It is not the one from which connections are opened, so that none takes its ports.
+func (w *world) machineIP(i int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+w.subnet/256, w.subnet%256, 1+i)
+}
+
+// addresses returns addresses of a machine with n free ports.
+func (w *world) addresses(machine, n int) []string {
+	var list []string
+	for range n {
+		ln, err := net.Listen("tcp", w.machineIP(machine)+":0")
+		if err != nil {
+			w.fail("listen: %v", err)
+		}
+		defer ln.Close() // at the end, so that all ports differ
+		list = append(list, ln.Addr().String())
+	}
+	return list
 }
 
 // nodeProc is one process of the product beside a server.
 type nodeProc struct {
 	w                                             *world
-	name, service                                 string
+	name, service, zone, region                   string
 	outbound, inbound, control, ready, admin, app string
 	file                                          string
 	cmd                                           *exec.Cmd
@@ -107,14 +125,16 @@
 }
 
 // newNode starts a process of the product, by the command of the deploy file, with settings as its template gives them.
-func (w *world) newNode(name, service string) *nodeProc {
-	n := &nodeProc{w: w, name: name, service: service, file: filepath.Join(w.dir, name+".toml")}
-	for _, p := range []*string{&n.outbound, &n.inbound, &n.control, &n.ready, &n.admin, &n.app} {
-		*p = w.freeAddress()
+func (w *world) newNode(name, service, zone string) *nodeProc {
+	region, _, _ := strings.Cut(zone, "-")
+	n := &nodeProc{w: w, name: name, service: service, zone: zone, region: region, file: filepath.Join(w.dir, name+".toml")}
+	places := []*string{&n.outbound, &n.inbound, &n.control, &n.ready, &n.admin, &n.app}
+	for i, address := range w.addresses(len(w.nodes), len(places)) {
+		*places[i] = address
 	}
 	settings := fmt.Sprintf(`name = %q
-region = "pampa"
-data_centre = "pampa-a"
+region = %q
+data_centre = %q
 service = %q
 [listen]
 caller = %q
@@ -142,7 +162,7 @@
 lame = "2500ms"
 [log]
 level = "info"
-`, name, service, n.outbound, n.inbound, n.control, n.ready, n.admin, n.app, w.store.address)
+`, name, region, zone, service, n.outbound, n.inbound, n.control, n.ready, n.admin, n.app, w.store.address)
 	if err := os.WriteFile(n.file, []byte(settings), 0o600); err != nil {
 		w.fail("settings: %v", err)
 	}
