The line of a request names the version by which it was handled

Change: caller.Request keeps the bundle by which it is handled, and the lines `request` and `bundle` have its digest.

Test: caller: TestBundleThatChangesDuringAuthentication asserts which bundle the record of a request names (the field is new).

--- a/caller/key_test.go
+++ b/caller/key_test.go
@@ -190,9 +190,11 @@
 // version after it.
 func TestBundleThatChangesDuringAuthentication(t *testing.T) {
 	is := is.New(t)
-	f := &recordingFleet{bundle: keyedBundle(t), next: keyedBundle(t), trusts: true, knowsNewest: true}
+	b := keyedBundle(t)
+	f := &recordingFleet{bundle: b, next: keyedBundle(t), trusts: true, knowsNewest: true}
 	w := sendTo(f, caller.DefaultDialect(), "/x", http.Header{"Authorization": {"Bearer other"}})
 	is.Equal(w.Code, http.StatusServiceUnavailable)
+	is.Equal(f.ended.Bundle, b) // the log names the bundle that decided, not the one in force at the end
 }
 
 // TestRefusedRepeatIsUnknown guards against the promise that a request did not run of which an earlier attempt, whose key was valid then, may
--- a/caller/request.go
+++ b/caller/request.go
@@ -25,6 +25,7 @@
 	Identified   bool   // the caller has been identified by its key; otherwise its name is what the request says
 	Prioritized  bool   // Priority replaces the priority of the class
 	Priority     int
+	Bundle       *bundle.Bundle // in force when the request came, by which it is handled
 	Match        bundle.Match
 	Key          string
 	FirstAttempt bool // no earlier request with the key can have run
@@ -49,7 +50,7 @@
 	case !ok:
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
 	}
-	r := &Request{Caller: headerValue(req.Header, d.CallerHeader), Match: m, Key: headerValue(req.Header, d.KeyHeader), HTTP: req}
+	r := &Request{Caller: headerValue(req.Header, d.CallerHeader), Bundle: b, Match: m, Key: headerValue(req.Header, d.KeyHeader), HTTP: req}
 	r.FirstAttempt = headerValue(req.Header, d.KeyAttemptHeader) == "1"
 	if len(r.Key) > maxKeyBytes {
 		return nil, badRequest("%s has more than %d bytes", d.KeyHeader, maxKeyBytes)
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -128,5 +128,5 @@
 		logger = log.With(logger, "caller", r.Caller)
 	}
 	_ = level.Info(logger).Log("msg", "request", "id", clip(r.ID), "service", service, "class", class, "outcome", requestOutcome, "code", code, "status", status,
-		"ms", duration.Milliseconds(), "timeout", r.Match.Timeout().Milliseconds(), "bundle", n.bundleVersion.Load(), "steps", strings.Join(r.Steps, " "), "err", err)
+		"ms", duration.Milliseconds(), "timeout", r.Match.Timeout().Milliseconds(), "bundle", n.bundleVersion.Load(), "digest", r.Bundle.Digest(), "steps", strings.Join(r.Steps, " "), "err", err)
 }
--- a/node/versions.go
+++ b/node/versions.go
@@ -221,7 +221,7 @@
 	start := time.Now()
 	n.installBundle()
 	n.events.Add(event.Event{Kind: event.Bundle, Text: source})
-	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "result", rollout.Accepted, "source", source, "took", time.Since(start))
+	_ = level.Info(n.logger).Log("msg", "bundle", "version", number, "digest", n.Bundle().Digest(), "result", rollout.Accepted, "source", source, "took", time.Since(start))
 	n.mu.Lock()
 	n.versionReader.VersionKnown()
 	targets := n.members.PushTargets()
