A key reaches no upstream from a node that lacks the first version with keys

Cause: the header Authorization was taken out as part of authentication, which only runs if the bundle in force requires keys. A node whose bundle requires none took a key for a header like any other. A node that only takes the key out runs the request under no tenant's name, which the rule forbids as well.

Change: a dialect may reserve keys (the platform's does). Then a header Authorization goes to upstreams only if all its values are of another scheme than Bearer, whatever the bundle says; and a request that carries a key is refused with 503 stale-bundle, not run, Retry-After 0.5 s, by a node that hasn't confirmed within platform.apply that it has the newest version, unless the route is public. That is the rule by which an unknown key was refused already; both use it. By the own protocol the header still belongs to upstreams while no keys are required, as docs/API.md says.

--- a/caller/dialect.go
+++ b/caller/dialect.go
@@ -9,6 +9,7 @@
 	IdentityHeader       string // tells upstreams the name of the caller; removed from requests, unless it is CallerHeader and the bundle requires no keys
 	KeyHeader            string // carries the idempotency key; a retry with the same key does not run the request again
 	KeyAttemptHeader     string // its value is 1 if no earlier request with the key can have run
+	ReservesKeys         bool   // the scheme Bearer of the header Authorization is for keys also while the bundle requires none; otherwise upstreams get the header then
 	FractionalRetryAfter bool   // the Retry-After header has fractions of a second
 }
 
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -125,10 +125,8 @@
 	if d.IdentityHeader != d.CallerHeader {
 		r.HTTP.Header.Del(d.IdentityHeader)
 	}
-	if b.RequiresKeys() {
-		if err := d.authenticate(f, b, r); err != nil {
-			return nil, unknownIfMayHaveRun(r, err)
-		}
+	if err := d.checkKey(f, b, r); err != nil {
+		return nil, unknownIfMayHaveRun(r, err)
 	}
 	if r.HTTP.ContentLength > maxBody {
 		err := errors.Errorf("body has %d bytes, limit is %d", r.HTTP.ContentLength, maxBody)
--- a/caller/key.go
+++ b/caller/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -22,6 +23,40 @@
 // shownDigestLength is the number of hexadecimal digits of the digest of an unknown key that an error shows, enough to tell keys apart.
 const shownDigestLength = 8
 
+// checkKey authenticates the request if the bundle requires keys. If it doesn't, a key that the request carries shows that a newer bundle may: no
+// upstream gets to see the key, and a node that may lack that bundle refuses the request. The error is an *outcome.Error.
+func (d Dialect) checkKey(f Fleet, b *bundle.Bundle, r *Request) error {
+	switch {
+	case b.RequiresKeys():
+		return d.authenticate(f, b, r)
+	case !d.ReservesKeys || !removeKey(r.HTTP.Header) || r.Match.Public():
+		return nil
+	case !confirmsNewest(f, b):
+		return staleBundle("a newer bundle may require the key of the request")
+	}
+	return nil
+}
+
+// removeKey removes the header Authorization unless it is of another scheme than that of keys, and reports whether it did.
+func removeKey(h http.Header) bool {
+	values := h.Values(authorizationHeader)
+	if !slices.ContainsFunc(values, mayHoldKey) {
+		return false
+	}
+	h.Del(authorizationHeader)
+	return true
+}
+
+// mayHoldKey reports whether the value of a header Authorization may hold a key, well-formed or not.
+func mayHoldKey(value string) bool {
+	scheme, credentials, _ := strings.Cut(value, " ")
+	return strings.EqualFold(scheme, keyScheme) || strings.TrimSpace(credentials) == ""
+}
+
+// confirmsNewest reports whether the node has confirmed that no newer bundle exists than b. It looks at the bundle in force last: one that came
+// into force meanwhile may be the one that is confirmed.
+func confirmsNewest(f Fleet, b *bundle.Bundle) bool { return f.ConfirmedNewest() && f.Bundle() == b }
+
 // authenticate identifies the caller by the key of the request and removes from the header the key and what only the system may say of the
 // caller. The bundle has keys. The error is an *outcome.Error.
 func (d Dialect) authenticate(f Fleet, b *bundle.Bundle, r *Request) error {
@@ -42,7 +77,7 @@
 		return nil
 	case malformed != nil:
 		return outcome.NewError(outcome.NotRun, outcome.CodeUnauthenticated, malformed)
-	case !f.ConfirmedNewest() || f.Bundle() != b: // in this order: a bundle that came into force meanwhile may be the one that is confirmed
+	case !confirmsNewest(f, b):
 		return staleBundle("a newer bundle may have key " + shownDigest(key))
 	}
 	return outcome.NewError(outcome.NotRun, outcome.CodeUnauthenticated, errors.Errorf("no caller has key %s", shownDigest(key)))
--- a/caller/key_test.go
+++ b/caller/key_test.go
@@ -186,6 +186,49 @@
 	}
 }
 
+// TestKeyBeforeItIsRequired guards against a key that reaches upstreams, and against a request with a key that runs unidentified, at a node that
+// may lack the first bundle with keys.
+func TestKeyBeforeItIsRequired(t *testing.T) {
+	const served, refused = http.StatusOK, http.StatusServiceUnavailable
+	tests := []struct {
+		name, path    string
+		authorization []string
+		reserves      bool // the dialect reserves keys
+		knows         bool
+		wantStatus    int
+		wantForwarded bool
+	}{
+		{"key", "/x", []string{"Bearer k"}, true, true, served, false},
+		{"key at a node that lags", "/x", []string{"Bearer k"}, true, false, refused, false},
+		{"key on a public route of a node that lags", "/open", []string{"Bearer k"}, true, false, served, false},
+		{"scheme in upper case at a node that lags", "/x", []string{"BEARER k"}, true, false, refused, false},
+		{"key behind a tab at a node that lags", "/x", []string{"Bearer\tk"}, true, false, refused, false},
+		{"key without a scheme at a node that lags", "/x", []string{"k"}, true, false, refused, false},
+		{"key beside another scheme at a node that lags", "/x", []string{"Basic YTpi", "Bearer k"}, true, false, refused, false},
+		{"another scheme at a node that lags", "/x", []string{"Basic YTpi"}, true, false, served, true},
+		{"no header at a node that lags", "/x", nil, true, false, served, false},
+		{"key that a dialect leaves to upstreams", "/x", []string{"Bearer k"}, false, false, served, true},
+	}
+	b, err := bundle.Parse("test", []byte(keyBundle))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &recordingFleet{bundle: b, knowsNewest: tt.knows}
+			w := sendTo(f, caller.Dialect{ReservesKeys: tt.reserves}, tt.path, http.Header{"Authorization": tt.authorization})
+			is.Equal(w.Code, tt.wantStatus)
+			if tt.wantStatus == refused {
+				is.Equal(f.served, nil)
+				is.True(w.Header().Get("Retry-After") != "")
+				return
+			}
+			is.Equal(len(f.served.HTTP.Header.Values("Authorization")) > 0, tt.wantForwarded)
+		})
+	}
+}
+
 // TestBundleThatChangesDuringAuthentication guards against a refusal by a bundle that is no longer in force: the node has confirmed the
 // version after it.
 func TestBundleThatChangesDuringAuthentication(t *testing.T) {
