A node whose machine was suspended has no newest version until it confirms one

The age of a version, the lease by which a node relies on a reader, and what a reader confirms to others were all measured by the steady clock. After a suspension of any length a node therefore took its version for confirmed, for up to platform.apply: it ran a request with a key under no tenant's name, answered 401 for good to a key that a newer version holds, and confirmed to others that it knows the newest version.

--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -11,7 +11,8 @@
 )
 
 // tickReader asks a reader of the data centre to confirm that it reads, if that is due.
-func (n *Node) tickReader(_ context.Context, now time.Time) {
+func (n *Node) tickReader(context.Context, time.Time) {
+	now := n.bootTime()
 	n.mu.Lock()
 	n.versionReader.SetCandidates(n.members.Readers())
 	name, due := n.versionReader.Ask(now)
@@ -30,7 +31,7 @@
 
 // askReader asks a node to confirm that it reads the published versions, and fetches a version that this node lacks.
 func (n *Node) askReader(to membership.Member, msg membership.Message, timeout time.Duration) {
-	sentAt := time.Now()
+	sentAt := n.bootTime()
 	heartbeat := membership.OutgoingHeartbeat{Name: to.Name, Address: to.Address, Message: msg}
 	resp, err := n.exchange(heartbeat, timeout, true)
 	n.logReliance(to.Name, err == nil && resp.Confirmed)
@@ -86,7 +87,7 @@
 	if n.rollout.InForce() != n.Bundle() {
 		return false
 	}
-	return n.bundleFreshness().Within(time.Now(), limit)
+	return n.bundleFreshness().Within(n.bootTime(), limit)
 }
 
 // bundleFreshness returns the freshness of the accepted bundle; the caller holds n.mu.
@@ -98,10 +99,10 @@
 }
 
 // knownAge returns the time since which this node may lack a version, in text for the log.
-func (n *Node) knownAge(now time.Time) string {
+func (n *Node) knownAge() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	age, known := n.bundleFreshness().Age(now)
+	age, known := n.bundleFreshness().Age(n.bootTime())
 	if !known {
 		return "never"
 	}
--- a/node/logstream.go
+++ b/node/logstream.go
@@ -82,7 +82,7 @@
 
 // readPage reads and applies one page of the stream and reports whether more pages may follow.
 func (n *Node) readPage(ctx context.Context, stream string, maxWait time.Duration) (bool, error) {
-	sentAt := time.Now()
+	sentAt := n.bootTime()
 	n.mu.Lock()
 	offset, era := n.tailCaches[stream].Next(), n.logEra
 	n.mu.Unlock()
--- a/node/members.go
+++ b/node/members.go
@@ -122,7 +122,7 @@
 	n.members.Flush(now)
 	output := n.members.TakeOutput()
 	resp := n.newHeartbeat(msg, hb.Message.Name)
-	resp.Confirmed = hb.Confirm && n.versionReader != nil && n.versionReader.Confirms(now) && !n.stopping.Load()
+	resp.Confirmed = hb.Confirm && n.versionReader != nil && n.versionReader.Confirms(n.bootTime()) && !n.stopping.Load()
 	n.mu.Unlock()
 	n.handleMembershipOutput(output)
 	return resp
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,8 @@
 	Log     platform.Log // the log service; nil for a client of the service named in the settings
 	LogDial tcp.DialFunc // connects to the log service; nil to connect over TCP
 	Logger  log.Logger   // writes the log lines of the node; nil to discard them
+
+	BootTime func() time.Time // a clock that goes on while the machine is suspended, unlike the monotonic one; nil for that of the system
 }
 
 // Node is one process of the fleet.
@@ -38,6 +40,7 @@
 	cfg        Settings
 	logger     log.Logger
 	clock      event.Clock
+	bootTime   func() time.Time // see Options; tells how old the bundle is
 	events     *event.Ring
 	client     *peer.Client
 	streams    *upstream.Streams // bounds the responses that are being sent
@@ -59,7 +62,7 @@
 	rollout        *rollout.Engine
 	owners         *ownership.Engine
 	versionReader  *rollout.Reader                       // whether this node reads the published versions; nil with the own protocols
-	freshness      rollout.Freshness                     // of the bundle; with the own protocols, in place of that of versionReader
+	freshness      rollout.Freshness                     // of the bundle, by bootTime; with the own protocols, in place of that of versionReader
 	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
 	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
 	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
@@ -94,7 +97,10 @@
 
 // New returns a node that listens on its addresses but does not serve requests until Run is called.
 func New(cfg Settings, opt Options) (*Node, error) {
-	n := &Node{cfg: cfg, logger: opt.Logger, logService: opt.Log, startedAt: time.Now()}
+	n := &Node{cfg: cfg, logger: opt.Logger, logService: opt.Log, startedAt: time.Now(), bootTime: opt.BootTime}
+	if n.bootTime == nil {
+		n.bootTime = systemBootTime
+	}
 	if n.logger == nil {
 		n.logger = log.NewNopLogger()
 	}
@@ -131,7 +137,7 @@
 	n.rollout = rollout.New(cfg.DataCentre, cfg.trustedKeys())
 	if n.protocols.hasConfigSource() {
 		n.rollout.AcceptForwardedVersions()
-		n.versionReader = rollout.NewReader(now, cfg.Name, cfg.Platform.Apply.Std(), rand.New(rand.NewPCG(seed, 2)))
+		n.versionReader = rollout.NewReader(n.bootTime(), cfg.Name, cfg.Platform.Apply.Std(), rand.New(rand.NewPCG(seed, 2)))
 	}
 	n.owners = ownership.New(now, ownershipNode(self), ownership.DisabledSafeguards{})
 	n.tailCaches = map[string]*platform.TailCache{rollout.Stream: {}, ownership.Stream: {}}
--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -97,7 +97,7 @@
 		return
 	}
 	_ = level.Info(n.logger).Log("msg", "unrouted", "id", clip(id), "host", clip(req.Host), "path", clip(req.URL.Path), "status", status, "code", code,
-		"bundle", n.bundleVersion.Load(), "digest", b.Digest(), "known", n.knownAge(time.Now()))
+		"bundle", n.bundleVersion.Load(), "digest", b.Digest(), "known", n.knownAge())
 }
 
 // maxLoggedBytes is the maximum length of a value that a caller has chosen, in a log line.
--- a/node/versionread.go
+++ b/node/versionread.go
@@ -11,8 +11,8 @@
 type versionRead struct {
 	from     platform.Offset // 0 for a read of the newest version
 	hold     time.Duration   // how long the log service was allowed to hold it
-	sentAt   time.Time
-	versions int // number of versions that it returned, invalid ones included
+	sentAt   time.Time       // by Node.bootTime
+	versions int             // number of versions that it returned, invalid ones included
 	err      error
 }
 
@@ -30,7 +30,7 @@
 // recordRead counts a read, and logs it unless it returned nothing.
 func (n *Node) recordRead(r versionRead) {
 	n.metrics.versionReads.WithLabelValues(r.result()).Inc()
-	took := time.Since(r.sentAt)
+	took := n.bootTime().Sub(r.sentAt)
 	switch {
 	case r.err != nil:
 		_ = level.Warn(n.logger).Log("msg", "read failed", "from", r.from, "hold", r.hold, "took", took, "err", r.err)
@@ -42,5 +42,5 @@
 // recordReadRepeated counts and logs that a read which has no answer is made once more.
 func (n *Node) recordReadRepeated(r versionRead) {
 	n.metrics.versionReads.WithLabelValues("repeated").Inc()
-	_ = level.Info(n.logger).Log("msg", "read repeated", "from", r.from, "hold", r.hold, "after", time.Since(r.sentAt))
+	_ = level.Info(n.logger).Log("msg", "read repeated", "from", r.from, "hold", r.hold, "after", n.bootTime().Sub(r.sentAt))
 }
--- a/node/versions.go
+++ b/node/versions.go
@@ -67,7 +67,7 @@
 // awaitReading waits until this node is to read the published versions; it returns false once ctx has ended.
 func (n *Node) awaitReading(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		now := time.Now()
+		now := n.bootTime()
 		n.mu.Lock()
 		reads, wait := n.versionReader.Reads(now), n.versionReader.ReadsIn(now, n.readerInterval())
 		n.mu.Unlock()
@@ -89,7 +89,7 @@
 
 // readNewest reads the newest version, and sets the position after it.
 func (n *Node) readNewest(ctx context.Context, position *readPosition, b *backoff) {
-	sentAt := time.Now()
+	sentAt := n.bootTime()
 	answer, err := n.read(ctx, versionRead{sentAt: sentAt}, func(ctx context.Context, s *platform.ConfigSource) (v newVersions, err error) {
 		v.versions, v.next, v.rejected, err = s.Newest(ctx)
 		return v, err
@@ -104,7 +104,7 @@
 // readVersions reads the versions from the position on, waits for the first, and moves the position, which becomes unknown if it means
 // nothing in the log.
 func (n *Node) readVersions(ctx context.Context, position *readPosition, b *backoff) {
-	sentAt := time.Now()
+	sentAt := n.bootTime()
 	n.mu.Lock()
 	hold := n.versionReader.Hold(sentAt)
 	n.mu.Unlock()
@@ -170,7 +170,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.versionReader.Answered(time.Now(), answer.count() > 0)
+	n.versionReader.Answered(n.bootTime(), answer.count() > 0)
 }
 
 func (n *Node) recordReadFailed() {
@@ -184,7 +184,7 @@
 	n.recordLogServiceResult(err)
 	if err != nil {
 		n.recordReadFailed()
-		n.sleep(ctx, b.next(time.Since(sentAt)))
+		n.sleep(ctx, b.next(n.bootTime().Sub(sentAt)))
 		return false
 	}
 	*b = backoff{}
