A first key tells that a version with keys may be on its way

What callers saw: a request sent with its key after the acknowledgement of the first version with tenants runs without Tenant, at a node in touch that gets the version a moment later. Cause: lets a node decide that has confirmed its version within platform.apply; such a confirmation may be older than the version that the key is for.

Change: rollout.KeyWatch knows since when keys come that the bundle in force doesn't require. Until the node has confirmed all versions that were published up to then, it refuses these requests with 503 stale-bundle; after that it takes the keys out and runs them, so that clients may send keys before they have to.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -24,6 +24,9 @@
 	TrustsKeys() bool
 	// ConfirmedNewest reports whether the node has confirmed lately that no newer bundle exists than the one in force.
 	ConfirmedNewest() bool
+	// ExpectsNoKeys records a key that the bundle in force doesn't require, and reports whether the node has confirmed since the first such key
+	// that no newer bundle exists.
+	ExpectsNoKeys() bool
 	// Admit counts a request against its caller's limit.
 	Admit(r *Request) error
 	// Serve runs the request; the error is an *outcome.Error.
--- a/caller/handler_test.go
+++ b/caller/handler_test.go
@@ -27,6 +27,8 @@
 
 func (sureNode) ConfirmedNewest() bool { return true }
 
+func (sureNode) ExpectsNoKeys() bool { return true }
+
 func (sureNode) RecordUnrouted(*http.Request, string, int, *bundle.Bundle, error) {}
 
 // refusingFleet refuses all requests.
--- a/caller/key.go
+++ b/caller/key.go
@@ -23,7 +23,7 @@
 // shownDigestLength is the number of hexadecimal digits of the digest of an unknown key that an error shows, enough to tell keys apart.
 const shownDigestLength = 8
 
-// checkKey authenticates the request if the bundle requires keys. If it doesn't, a key that the request carries shows that a newer bundle may: no
+// checkKey authenticates the request if the bundle requires keys. If it doesn't, a key that the request carries tells that a newer bundle may: no
 // upstream gets to see the key, and a node that may lack that bundle refuses the request. The error is an *outcome.Error.
 func (d Dialect) checkKey(f Fleet, b *bundle.Bundle, r *Request) error {
 	switch {
@@ -31,7 +31,7 @@
 		return d.authenticate(f, b, r)
 	case !d.ReservesKeys || !removeKey(r.HTTP.Header) || r.Match.Public():
 		return nil
-	case !confirmsNewest(f, b):
+	case !f.ExpectsNoKeys() || !confirmsNewest(f, b):
 		return staleBundle("a newer bundle may require the key of the request")
 	}
 	return nil
--- a/caller/key_test.go
+++ b/caller/key_test.go
@@ -68,6 +68,7 @@
 	sureNode
 	bundle              *bundle.Bundle
 	trusts, knowsNewest bool
+	newKeys             bool           // the node may lack a bundle for which they are
 	next                *bundle.Bundle // comes into force while a request is authenticated, unless it is nil
 	served, ended       *caller.Request
 	endErr              error
@@ -84,6 +85,8 @@
 	return f.knowsNewest
 }
 
+func (f *recordingFleet) ExpectsNoKeys() bool { return !f.newKeys }
+
 func (*recordingFleet) Admit(*caller.Request) error { return nil }
 
 func (f *recordingFleet) Serve(_ context.Context, r *caller.Request) (*upstream.Response, error) {
@@ -197,17 +200,20 @@
 		knows         bool
 		wantStatus    int
 		wantForwarded bool
+		newKeys       bool
 	}{
-		{"key", "/x", []string{"Bearer k"}, true, true, served, false},
-		{"key at a node that lags", "/x", []string{"Bearer k"}, true, false, refused, false},
-		{"key on a public route of a node that lags", "/open", []string{"Bearer k"}, true, false, served, false},
-		{"scheme in upper case at a node that lags", "/x", []string{"BEARER k"}, true, false, refused, false},
-		{"key behind a tab at a node that lags", "/x", []string{"Bearer\tk"}, true, false, refused, false},
-		{"key without a scheme at a node that lags", "/x", []string{"k"}, true, false, refused, false},
-		{"key beside another scheme at a node that lags", "/x", []string{"Basic YTpi", "Bearer k"}, true, false, refused, false},
-		{"another scheme at a node that lags", "/x", []string{"Basic YTpi"}, true, false, served, true},
-		{"no header at a node that lags", "/x", nil, true, false, served, false},
-		{"key that a dialect leaves to upstreams", "/x", []string{"Bearer k"}, false, false, served, true},
+		{"key", "/x", []string{"Bearer k"}, true, true, served, false, false},
+		{"key at a node that lags", "/x", []string{"Bearer k"}, true, false, refused, false, false},
+		{"key on a public route of a node that lags", "/open", []string{"Bearer k"}, true, false, served, false, false},
+		{"scheme in upper case at a node that lags", "/x", []string{"BEARER k"}, true, false, refused, false, false},
+		{"key behind a tab at a node that lags", "/x", []string{"Bearer\tk"}, true, false, refused, false, false},
+		{"key without a scheme at a node that lags", "/x", []string{"k"}, true, false, refused, false, false},
+		{"key beside another scheme at a node that lags", "/x", []string{"Basic YTpi", "Bearer k"}, true, false, refused, false, false},
+		{"another scheme at a node that lags", "/x", []string{"Basic YTpi"}, true, false, served, true, false},
+		{"no header at a node that lags", "/x", nil, true, false, served, false, false},
+		{"key that a dialect leaves to upstreams", "/x", []string{"Bearer k"}, false, false, served, true, true},
+		{"first key", "/x", []string{"Bearer k"}, true, true, refused, false, true},
+		{"first key on a public route", "/open", []string{"Bearer k"}, true, true, served, false, true},
 	}
 	b, err := bundle.Parse("test", []byte(keyBundle))
 	if err != nil {
@@ -216,7 +222,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			f := &recordingFleet{bundle: b, knowsNewest: tt.knows}
+			f := &recordingFleet{bundle: b, knowsNewest: tt.knows, newKeys: tt.newKeys}
 			w := sendTo(f, caller.Dialect{ReservesKeys: tt.reserves}, tt.path, http.Header{"Authorization": tt.authorization})
 			is.Equal(w.Code, tt.wantStatus)
 			if tt.wantStatus == refused {
--- a/node/confirmation.go
+++ b/node/confirmation.go
@@ -79,6 +79,13 @@
 	return false
 }
 
+// ExpectsNoKeys implements caller.Fleet.
+func (n *Node) ExpectsNoKeys() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.bundleFreshness().Covers(n.keyWatch.Seen(n.bootTime()))
+}
+
 // confirmedWithin reports whether the node has confirmed, at most the given time ago, that its newest version is that of the fleet, and has
 // put it in force.
 func (n *Node) confirmedWithin(limit time.Duration) bool {
--- a/node/node.go
+++ b/node/node.go
@@ -63,6 +63,7 @@
 	owners         *ownership.Engine
 	versionReader  *rollout.Reader                       // whether this node reads the published versions; nil with the own protocols
 	freshness      rollout.Freshness                     // of the bundle, by bootTime; with the own protocols, in place of that of versionReader
+	keyWatch       rollout.KeyWatch                      // of keys that the bundle in force doesn't require
 	tailCaches     map[string]*platform.TailCache        // newest log entries, by stream
 	peerPositions  map[string][]peer.Position            // log positions reported by other nodes, by node name
 	lastSnapshotAt map[string]time.Time                  // time of the newest snapshot in the log, by stream
--- a/rollout/freshness.go
+++ b/rollout/freshness.go
@@ -18,6 +18,9 @@
 	return max(0, now.Sub(f.knownUntil)), !f.knownUntil.IsZero()
 }
 
+// Covers reports whether the node knows all versions that were published until t.
+func (f Freshness) Covers(t time.Time) bool { return !f.knownUntil.Before(t) }
+
 // Within reports whether the node has confirmed, at most the given time ago, that it had the newest version.
 func (f Freshness) Within(now time.Time, limit time.Duration) bool {
 	return !f.knownUntil.IsZero() && now.Sub(f.knownUntil) <= limit
