A response that is cut during an upload never looks complete

Cause: the kernel reports the reset of a connection to one system call only. A large request is written by one goroutine while another reads the response. If the write learns of the reset, the read that follows returns the end of the stream, as after an orderly close, and the end of a response without a length is the end of its connection. Nobody asked how the write had ended.

Change: the writes of an upload keep their error. A response whose upstream half-closes and reads on, or waits, stays complete, as does one whose request was sent whole.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -172,7 +172,7 @@
 type exchange struct {
 	conn       *conn
 	resp       *http.Response
-	bodySent   chan error // receives the result of sending a large body; nil for a small one
+	upload     *upload // a large request that is sent while the response is read; nil for a small one
 	stopCancel func() bool
 	pool       *pool
 }
@@ -194,6 +194,9 @@
 		x.abort()
 		return nil, errors.Wrap(err, "read response")
 	}
+	if x.upload != nil && closeDelimited(x.resp) {
+		x.resp.Body = &closeDelimitedBody{ReadCloser: x.resp.Body, upload: x.upload}
+	}
 	return x, nil
 }
 
@@ -207,8 +210,7 @@
 		_, err := x.conn.Write(b.Bytes())
 		return err
 	}
-	x.bodySent = make(chan error, 1)
-	go func() { x.bodySent <- writeRequest(x.conn, req) }()
+	x.upload = startUpload(x.conn, req)
 	return nil
 }
 
@@ -278,15 +280,8 @@
 }
 
 func (x *exchange) reusable() bool {
-	if x.bodySent != nil {
-		select {
-		case err := <-x.bodySent:
-			if err != nil {
-				return false
-			}
-		default:
-			return false // the upstream responded before it received the whole body
-		}
+	if x.upload != nil && !x.upload.complete() {
+		return false // the upstream responded before it received the whole body
 	}
 	return !x.resp.Close && !closeDelimited(x.resp) && x.conn.reader.Buffered() == 0
 }
