A cut response to a caller of HTTP/1.0 resets its connection

What callers saw: a caller that speaks HTTP/1.0 gets 150,000 of 200,000 bytes of a cut answer, then the orderly end of the connection, which completes an answer without a length. Cause: HTTP/1.0 has no chunks, and http.ErrAbortHandler closes the connection in order.

Evidence: at the socket of a node before an upstream that cuts its chunked answers, HTTP/1.0: "150141 bytes <nil>"; HTTP/1.1: chunks without the last one.

Change: before it gives up a response to HTTP/1.0, the node resets the connection.

--- a/caller/handler.go
+++ b/caller/handler.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -89,11 +90,31 @@
 	resp.Header.Set(outcome.HeaderName, string(outcome.Ran))
 	if err := sendWithin(w, resp, r.Deadline); err != nil {
 		f.RecordEnd(r, resp.Status, outcome.Unknown, err, time.Since(start))
-		panic(http.ErrAbortHandler) // a truncated response must not look complete
+		abort(w, req)
 	}
 	f.RecordEnd(r, resp.Status, outcome.Ran, nil, time.Since(start))
 }
 
+// abort ends the connection of a response that was sent in part, so that it doesn't look complete. It doesn't return.
+func abort(w http.ResponseWriter, req *http.Request) {
+	if !req.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection: a response of HTTP/1.0 without a length ends with its connection, so that an orderly close completes it.
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // fails if the connection is closed already
+	}
+	_ = c.Close()
+}
+
 // checkHead returns an error if the head of the request, as HTTP/1.1 writes it, has more than limit bytes.
 func checkHead(req *http.Request, limit int64) error {
 	size := len(req.Method) + len(" ") + len(req.RequestURI) + len(" HTTP/1.1\r\n") + len("Host: ") + len(req.Host) + len("\r\n\r\n")
