A route matches on the path as it was sent

Cause: the target was read in three places in two ways. caller.Dialect.parse and Node.repeatable gave req.URL.Path, which is decoded, to Bundle.Route; the prefix is written, and the target forwarded, as it is sent; the owner of a key cut the query off the target by itself.

Change: bundle.ParseTarget reads a target once into a typed value with the path that routes match on and the text that is forwarded. Bundle.Route takes a bundle.Path, so that a decoded path can't be passed by mistake. What can't be read in one way is refused with 400.

--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -63,7 +63,7 @@
 	for _, tt := range tests {
 		t.Run(tt.method+tt.host+tt.path, func(t *testing.T) {
 			is := is.New(t)
-			match, ok := b.Route(tt.host, tt.method, tt.path)
+			match, ok := b.Route(tt.host, tt.method, bundle.Path(tt.path))
 			is.Equal(ok, tt.wantClass != "")
 			if ok {
 				is.Equal(match.Class.Name(), tt.wantClass)
--- a/bundle/lint.go
+++ b/bundle/lint.go
@@ -77,7 +77,7 @@
 		probes = append(probes, path)
 	}
 	for _, p := range probes {
-		m, ok := b.Route(host, method, p)
+		m, ok := b.Route(host, method, Path(p))
 		switch {
 		case ok && m.Route.Key() == r.key():
 			reached = true
--- a/bundle/route.go
+++ b/bundle/route.go
@@ -127,7 +127,7 @@
 
 // Route returns the match for a request: the route with the longest path prefix that ends at a segment boundary. For a split route it
 // returns the first target. It returns false if no route matches, or if the one that matches is closed; the match then has that route only.
-func (b *Bundle) Route(host, method, path string) (Match, bool) {
+func (b *Bundle) Route(host, method string, path Path) (Match, bool) {
 	if end := strings.LastIndexByte(host, ':'); end > 0 && !strings.HasSuffix(host, "]") {
 		host = host[:end]
 	}
@@ -135,8 +135,8 @@
 	if routes == nil {
 		return Match{}, false
 	}
-	noTrailingSlash := !strings.HasSuffix(path, "/")
-	for prefix := strings.TrimSuffix(path, "/"); ; noTrailingSlash = false {
+	noTrailingSlash := !strings.HasSuffix(string(path), "/")
+	for prefix := strings.TrimSuffix(string(path), "/"); ; noTrailingSlash = false {
 		if route := selectRoute(routes.byPrefix[prefix], method, noTrailingSlash); route != nil {
 			if route.Closed() {
 				return Match{Route: route}, false
--- a/caller/request.go
+++ b/caller/request.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,6 +25,7 @@
 	Prioritized  bool   // Priority replaces the priority of the class
 	Priority     int
 	Bundle       *bundle.Bundle // in force when the request came, by which it is handled
+	Target       bundle.Target
 	Match        bundle.Match
 	Key          string
 	FirstAttempt bool // no earlier request with the key can have run
@@ -40,17 +40,18 @@
 	if b.Len() == 0 {
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoBundle, errors.New("no bundle is in force yet"))
 	}
-	if !validTarget(req.RequestURI) {
-		return nil, badRequest("request target %q can't be forwarded", req.RequestURI)
+	target, err := bundle.ParseTarget(req.RequestURI)
+	if err != nil {
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, err)
 	}
-	m, ok := b.Route(req.Host, req.Method, req.URL.Path)
+	m, ok := b.Route(req.Host, req.Method, target.Path())
 	switch {
 	case !ok && m.Route != nil:
 		return nil, outcome.NewError(outcome.NotRun, outcome.CodeRouteClosed, errors.Errorf("%s is closed", m.Route.Key()))
 	case !ok:
-		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, req.URL.Path))
+		return nil, outcome.NewError(outcome.NotRun, outcome.CodeNoRoute, errors.Errorf("no route for %s %s%s", req.Method, req.Host, target.Path()))
 	}
-	r := &Request{Caller: headerValue(req.Header, d.CallerHeader), Bundle: b, Match: m, Key: headerValue(req.Header, d.KeyHeader), HTTP: req}
+	r := &Request{Caller: headerValue(req.Header, d.CallerHeader), Bundle: b, Target: target, Match: m, Key: headerValue(req.Header, d.KeyHeader), HTTP: req}
 	r.FirstAttempt = headerValue(req.Header, d.KeyAttemptHeader) == "1"
 	if len(r.Key) > maxKeyBytes {
 		return nil, badRequest("%s has more than %d bytes", d.KeyHeader, maxKeyBytes)
@@ -67,14 +68,6 @@
 	return r, nil
 }
 
-// validTarget reports whether a request target can be forwarded as it is. HTTP/2 lets callers send some that end a line or a word of HTTP/1.1.
-func validTarget(target string) bool {
-	if strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
-		return false
-	}
-	return strings.HasPrefix(target, "/") || strings.HasPrefix(target, "http://") || strings.HasPrefix(target, "https://")
-}
-
 func badRequest(format string, args ...any) error {
 	return outcome.NewError(outcome.NotRun, outcome.CodeBadRequest, errors.Errorf(format, args...))
 }
--- a/node/keys.go
+++ b/node/keys.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jasminevane/jasminevane/bundle"
 	"github.com/jasminevane/jasminevane/caller"
 	"github.com/jasminevane/jasminevane/idempotency"
 	"github.com/jasminevane/jasminevane/membership"
@@ -132,7 +133,11 @@
 
 // Keyed implements peer.Receiver: it runs a request whose key this node owns.
 func (n *Node) Keyed(ctx context.Context, k *peer.KeyedRequest) (*upstream.Response, error) {
-	match, ok := n.Bundle().Route(k.Host, k.Method, pathOf(k.URI))
+	target, err := bundle.ParseTarget(k.URI)
+	if err != nil {
+		return nil, outcome.NewError(outcome.Unknown, outcome.CodeBadRequest, err)
+	}
+	match, ok := n.Bundle().Route(k.Host, k.Method, target.Path())
 	if !ok {
 		return nil, outcome.NewError(outcome.Unknown, outcome.CodeNoRoute, nil)
 	}
@@ -178,15 +183,6 @@
 	return &outcome.Error{Outcome: outcome.Unknown, Code: e.Code, RetryAfter: e.RetryAfter, Err: e.Err}
 }
 
-func pathOf(uri string) string {
-	for i := range len(uri) {
-		if uri[i] == '?' {
-			return uri[:i]
-		}
-	}
-	return uri
-}
-
 func fingerprint(k *peer.KeyedRequest, body *caller.Body) uint64 {
 	var d xxhash.Digest
 	d.Reset()
--- a/node/run.go
+++ b/node/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/jasminevane/jasminevane/bundle"
 	"github.com/jasminevane/jasminevane/event"
 	"github.com/jasminevane/jasminevane/limit"
 	"github.com/jasminevane/jasminevane/membership"
@@ -78,7 +79,11 @@
 // repeatable reports whether a request may run twice, so that it may be run before it is known whether its turn comes. The class of a split route
 // is drawn for each request.
 func (n *Node) repeatable(r *http.Request) bool {
-	m, ok := n.Bundle().Route(r.Host, r.Method, r.URL.Path)
+	target, err := bundle.ParseTarget(r.RequestURI)
+	if err != nil {
+		return false
+	}
+	m, ok := n.Bundle().Route(r.Host, r.Method, target.Path())
 	return ok && m.Class.Idempotent() && (m.Route == nil || !m.Route.IsSplit())
 }
 
--- a/node/serve.go
+++ b/node/serve.go
@@ -68,7 +68,7 @@
 		match:         r.Match,
 		deadline:      r.Deadline,
 		method:        r.HTTP.Method,
-		uri:           r.HTTP.RequestURI,
+		uri:           r.Target.String(),
 		host:          r.HTTP.Host,
 		header:        upstream.CleanHeader(r.HTTP.Header),
 		body:          r.Body,
