--- a/node/requestlog.go
+++ b/node/requestlog.go
@@ -96,7 +96,8 @@
 	if !n.requestLog.allow(false) {
 		return
 	}
-	_ = level.Info(n.logger).Log("msg", "unrouted", "id", clip(id), "host", clip(req.Host), "path", clip(req.RequestURI), "status", status, "code", code,
+	path, _, _ := strings.Cut(req.RequestURI, "?") // a query may hold what is secret
+	_ = level.Info(n.logger).Log("msg", "unrouted", "id", clip(id), "host", clip(req.Host), "path", clip(path), "status", status, "code", code,
 		"bundle", n.bundleVersion.Load(), "digest", b.Digest(), "known", n.knownAge())
 }
 
