A stand-in that half-closes waits until its response was read

The stand-in closed its connection 300 ms later, with the upload unread, which resets it; at that load the gate had not come to the end of the response by then. Change: the stand-in waits until the response was read, not for a time; the rows and what they want are the same.

--- a/upstream/upload_test.go
+++ b/upstream/upload_test.go
@@ -46,6 +46,7 @@
 		runs       = 40
 		uploadSize = 4 << 20
 	)
+	received := make(chan struct{}) // gets a value when a response has been read
 	reset := func(c *net.TCPConn, _ io.Reader) {
 		time.Sleep(2 * time.Millisecond) // the bytes arrive before the reset, which would drop them
 		_ = c.SetLinger(0)
@@ -73,7 +74,7 @@
 		}, true},
 		{"half closed, the upload unread", uploadSize, func(c *net.TCPConn, _ io.Reader) {
 			_ = c.CloseWrite()
-			time.Sleep(300 * time.Millisecond)
+			<-received
 		}, true},
 		{"closed after the upload", uploadSize, func(_ *net.TCPConn, body io.Reader) { _, _ = io.Copy(io.Discard, body) }, true},
 	}
@@ -92,6 +93,10 @@
 					if receivesWhole(t, newGate(t, addr, 4), a, size) {
 						complete++
 					}
+					select {
+					case received <- struct{}{}:
+					default: // the upstream doesn't wait
+					}
 				}
 				want := 0
 				if tt.wantComplete {
