--- a/bundle/target_test.go
+++ b/bundle/target_test.go
@@ -55,7 +55,7 @@
 }
 
 // TestRouteIsThatOfTheLongestPrefix guards against a request that is handled by a route whose prefix doesn't begin its path, octet for octet. The
-// oracle is the sentence of the platform's page.
+// oracle is the definition: of the prefixes that begin the path, the longest.
 func TestRouteIsThatOfTheLongestPrefix(t *testing.T) {
 	segment := rapid.SampledFrom([]string{"a", "A", "%61", "%C3%B3", "%c3%b3", "é", "a%2Fa", "a%2fa", "%2F", "..", ".", "%2e%2E", ""})
 	rapid.Check(t, func(t *rapid.T) {
